--- /dev/null
+++ b/poplarstair/admission/server_estimates.cc
@@ -0,0 +1,144 @@
+#include "poplarstair/admission/server_estimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplarstair {
+
+namespace {
+
+/// Weight of `age` in an exponential average over `window`.
+double Decay(duration age, duration window) {
+  return std::exp(-ToSeconds(age) / ToSeconds(window));
+}
+
+}  // namespace
+
+void server_estimates::Smooth(time_point now, estimate& e) {
+  const double kept = Decay(now - e.load_at, settings_.load_window);
+  e.smoothed_load = kept * e.smoothed_load + (1 - kept) * e.in_flight;
+  e.load_at = now;
+}
+
+void server_estimates::OnFlowClosed(uint32_t row) {
+  estimate& e = rows_[row];
+  if (e.flows > 0) --e.flows;
+}
+
+void server_estimates::OnRequestSent(time_point now, uint32_t row) {
+  Smooth(now, rows_[row]);
+  ++rows_[row].in_flight;
+}
+
+void server_estimates::OnRequestDropped(time_point now, uint32_t row) {
+  estimate& e = rows_[row];
+  Smooth(now, e);
+  if (e.in_flight > 0) --e.in_flight;
+}
+
+void server_estimates::OnRequestDone(time_point now, uint32_t row,
+                                     duration took) {
+  OnRequestDropped(now, row);
+  estimate& e = rows_[row];
+  const double sample = static_cast<double>(took.count());
+  const double before = RequestTime(now, e);
+  e.request_time = before + settings_.time_weight * (sample - before);
+  e.time_at = now;
+  // Slower than a single server's: one slow server must not move it.
+  const double usual_weight = settings_.time_weight / 8;
+  usual_time_ = usual_time_ == 0
+                    ? sample
+                    : usual_time_ + usual_weight * (sample - usual_time_);
+}
+
+bool server_estimates::OnProgress(time_point now, uint32_t row) {
+  estimate& e = rows_[row];
+  const bool was_silent = e.is_silent || e.is_on_trial;
+  e.last_progress = now;
+  e.is_on_trial = false;
+  ClearSilence(e);
+  return was_silent;
+}
+
+void server_estimates::ClearSilence(estimate& e) {
+  e.waiting = 0;
+  e.repeats = 0;
+  e.silent_peers = 0;
+  e.is_silent = false;
+}
+
+bool server_estimates::OnRepeat(time_point now, uint32_t row, uint64_t flow,
+                                time_point sent_at) {
+  estimate& e = rows_[row];
+  // It has answered somebody since: this flow has a trouble of its own.
+  if (e.last_progress >= sent_at) return false;
+  if (now - sent_at < settings_.repeat_after) return false;
+  e.repeats = static_cast<uint8_t>(std::min(e.repeats + 1, 255));
+  const auto end = e.waiting_flows.begin() + e.waiting;
+  const bool is_new = std::find(e.waiting_flows.begin(), end, flow) == end;
+  if (is_new && e.waiting < kMaxWitnesses) e.waiting_flows[e.waiting++] = flow;
+  const bool silent = e.waiting >= settings_.silent_flows ||
+                      e.repeats >= settings_.silent_flows;
+  if (!silent || e.is_silent) return false;
+  e.is_silent = true;
+  return true;
+}
+
+bool server_estimates::OnPeerSilence(time_point now, uint32_t row) {
+  estimate& e = rows_[row];
+  // Own evidence that it lives goes before hearsay.
+  constexpr duration kOwnEvidence = std::chrono::milliseconds(300);
+  if (e.last_progress >= now - kOwnEvidence) return false;
+  e.silent_peers = static_cast<uint8_t>(std::min(e.silent_peers + 1, 255));
+  if (e.is_silent || e.is_on_trial) return false;
+  e.is_silent = true;
+  return true;
+}
+
+void server_estimates::SetPeerLoad(time_point now, uint32_t row, double load) {
+  rows_[row].peer_load = load;
+  rows_[row].peer_load_at = now;
+}
+
+void server_estimates::OnReachable(time_point /*now*/, uint32_t row) {
+  estimate& e = rows_[row];
+  if (!e.is_silent) return;
+  ClearSilence(e);
+  e.is_on_trial = true;
+}
+
+void server_estimates::OnPlaced(time_point now, uint32_t row) {
+  rows_[row].next_trial = now + settings_.trial_interval;
+}
+
+uint32_t server_estimates::Witnesses(uint32_t row) const {
+  const estimate& e = rows_[row];
+  return e.is_silent ? uint32_t{e.waiting} + e.silent_peers : 0;
+}
+
+double server_estimates::OwnLoad(time_point now, uint32_t row) const {
+  const estimate& e = rows_[row];
+  const double kept = Decay(now - e.load_at, settings_.load_window);
+  return kept * e.smoothed_load + (1 - kept) * e.in_flight;
+}
+
+double server_estimates::RequestTime(time_point now, const estimate& e) const {
+  const double usual = usual_time_ > 0
+                           ? usual_time_
+                           : static_cast<double>(settings_.first_time.count());
+  if (e.request_time == 0) return usual;
+  const double kept = Decay(now - e.time_at, settings_.forget_after);
+  return kept * e.request_time + (1 - kept) * usual;
+}
+
+double server_estimates::ExpectedWait(time_point now, uint32_t row,
+                                      uint32_t slots) const {
+  const estimate& e = rows_[row];
+  const bool has_peers = now - e.peer_load_at <= settings_.peer_load_age;
+  const double own =
+      std::max(static_cast<double>(e.in_flight), OwnLoad(now, row));
+  const double load = own + (has_peers ? e.peer_load : 0);
+  return (load + 1) / slots * RequestTime(now, e);
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/admission/server_estimates.h
@@ -0,0 +1,131 @@
+// What the callers' packets alone tell of each backend server: work in
+// progress, time of a request, silence.
+#ifndef POPLARSTAIR_ADMISSION_SERVER_ESTIMATES_H_
+#define POPLARSTAIR_ADMISSION_SERVER_ESTIMATES_H_
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "poplarstair/core/time.h"
+
+namespace poplarstair {
+
+struct estimate_settings {
+  /// Weight of the newest request in the smoothed request time. A server that
+  /// turns slow has to be noticed within some ten requests.
+  double time_weight = 0.15;
+  /// How fast the smoothed work in progress follows.
+  duration load_window = std::chrono::milliseconds(500);
+  /// A request time that is not refreshed falls back to the usual one this
+  /// fast, so that a server that was slow is tried again.
+  duration forget_after = std::chrono::seconds(4);
+  /// Request time of a server that has not answered yet.
+  duration first_time = std::chrono::milliseconds(30);
+  /// Callers repeat a packet after 200 ms; the same bytes sooner were
+  /// reordered on the way.
+  duration repeat_after = std::chrono::milliseconds(150);
+  /// Flows that must have waited in vain before a server counts as silent.
+  uint32_t silent_flows = 2;
+  /// Time between flows to a server on trial; the first copy of a packet that
+  /// opens a flow comes after 200 ms.
+  duration trial_interval = std::chrono::milliseconds(250);
+  /// What peers say of a server's load counts this long.
+  duration peer_load_age = std::chrono::milliseconds(1500);
+};
+
+/// Rows are those of the caller's own table of servers.
+class server_estimates {
+ public:
+  explicit server_estimates(const estimate_settings& settings)
+      : settings_(settings) {}
+
+  void Resize(size_t rows) { rows_.resize(rows); }
+  /// Forgets everything about a server that has started anew.
+  void Forget(uint32_t row) { rows_[row] = {}; }
+
+  // Events of flows.
+  void OnFlowOpened(uint32_t row) { ++rows_[row].flows; }
+  void OnFlowClosed(uint32_t row);
+  void OnRequestSent(time_point now, uint32_t row);
+  void OnRequestDone(time_point now, uint32_t row, duration took);
+  /// A request that ended without an answer.
+  void OnRequestDropped(time_point now, uint32_t row);
+  /// The caller has got something new from the server. True if the server
+  /// counted as silent before.
+  bool OnProgress(time_point now, uint32_t row);
+  /// A caller repeats what was sent to the server at `sent_at` for the first
+  /// time. True if the server counts as silent from now on.
+  bool OnRepeat(time_point now, uint32_t row, uint64_t flow,
+                time_point sent_at);
+  /// Another instance counts the server as silent. True as for OnRepeat.
+  bool OnPeerSilence(time_point now, uint32_t row);
+  /// Another instance sees this much work in progress; the sum over peers is
+  /// kept by the caller.
+  void SetPeerLoad(time_point now, uint32_t row, double load);
+  /// A server that counted as silent takes connections again: one flow at a
+  /// time until one makes progress.
+  void OnReachable(time_point now, uint32_t row);
+
+  /// A new flow was sent to the server.
+  void OnPlaced(time_point now, uint32_t row);
+
+  bool IsSilent(uint32_t row) const { return rows_[row].is_silent; }
+  /// False while it is silent, or on trial with a flow that may still answer.
+  bool TakesFlow(time_point now, uint32_t row) const {
+    const estimate& e = rows_[row];
+    return !e.is_silent && (!e.is_on_trial || now >= e.next_trial);
+  }
+  /// Silent by what this instance's own callers show.
+  bool IsSilentHere(uint32_t row) const {
+    return rows_[row].is_silent && rows_[row].repeats > 0;
+  }
+  /// Independent observations that it answers nobody: flows seen here and
+  /// other instances.
+  uint32_t Witnesses(uint32_t row) const;
+  time_point LastProgress(uint32_t row) const {
+    return rows_[row].last_progress;
+  }
+  /// Work in progress that this instance sees, smoothed.
+  double OwnLoad(time_point now, uint32_t row) const;
+  /// Time until a further request would be answered, in microseconds.
+  double ExpectedWait(time_point now, uint32_t row, uint32_t slots) const;
+  uint32_t Flows(uint32_t row) const { return rows_[row].flows; }
+
+ private:
+  static constexpr size_t kMaxWitnesses = 4;
+
+  struct estimate {
+    uint32_t flows = 0;
+    uint32_t in_flight = 0;
+    double smoothed_load = 0;
+    time_point load_at{};
+    double peer_load = 0;
+    time_point peer_load_at = time_point{};
+    /// Microseconds; 0 if unknown.
+    double request_time = 0;
+    time_point time_at{};
+    time_point last_progress = time_point{};
+    /// Flows that wait in vain since the last progress.
+    std::array<uint64_t, kMaxWitnesses> waiting_flows{};
+    uint8_t waiting = 0;
+    uint8_t repeats = 0;
+    uint8_t silent_peers = 0;
+    bool is_silent = false;
+    bool is_on_trial = false;
+    time_point next_trial{};
+  };
+
+  void Smooth(time_point now, estimate& e);
+  double RequestTime(time_point now, const estimate& e) const;
+  static void ClearSilence(estimate& e);
+
+  const estimate_settings settings_;
+  std::vector<estimate> rows_;
+  /// Mean request time of all servers, in microseconds; 0 if unknown.
+  double usual_time_ = 0;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_ADMISSION_SERVER_ESTIMATES_H_
--- a/poplarstair/balancer/balancer.h
+++ b/poplarstair/balancer/balancer.h
@@ -13,7 +13,7 @@
 #include "poplarstair/core/peer_message.h"
 #include "poplarstair/core/time.h"
 #include "poplarstair/membership/membership.h"
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 #include "poplarstair/requests/request_plane.h"
 #include "poplarstair/routing/flow_plane.h"
 
--- /dev/null
+++ b/poplarstair/catalog/catalog.h
@@ -0,0 +1,114 @@
+// What the platform's store says: routes, backend servers, withdrawn failure
+// domains.
+#ifndef POPLARSTAIR_CATALOG_CATALOG_H_
+#define POPLARSTAIR_CATALOG_CATALOG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "poplarstair/core/endpoint.h"
+#include "poplarstair/core/enum_names.h"
+#include "poplarstair/core/ids.h"
+#include "poplarstair/core/time.h"
+
+namespace poplarstair {
+
+/// Number of the store's whole state; grows with each change of any object.
+using store_revision = uint64_t;
+
+/// The collections that an instance follows.
+enum class collection : uint8_t { kRoutes, kServers, kWithdrawals };
+inline constexpr size_t kCollections = 3;
+
+template <>
+struct enum_names<collection> {
+  static constexpr std::string_view kNames[] = {"routes", "servers",
+                                                "withdrawals"};
+};
+
+/// What callers may do with a request that failed.
+enum class request_kind : uint8_t {
+  /// May be repeated after any failure.
+  kIdempotent,
+  /// May be repeated only when it has provably not run.
+  kNotIdempotent,
+  /// As kNotIdempotent, with a large body.
+  kUpload,
+};
+
+template <>
+struct enum_names<request_kind> {
+  static constexpr std::string_view kNames[] = {"idempotent", "not_idempotent",
+                                                "upload"};
+};
+
+struct weighted_service {
+  std::string service;
+  /// Share of new flows, relative to the other services of the route.
+  uint32_t weight = 1;
+};
+
+/// An address and port that callers open flows to.
+struct service_route {
+  endpoint address;
+  std::vector<weighted_service> services;
+  request_kind kind = request_kind::kNotIdempotent;
+  duration timeout = duration::zero();
+  duration latency_target = duration::zero();
+  /// 0 is the most urgent.
+  uint32_t priority = 0;
+};
+
+struct service_limits {
+  std::string name;
+  /// New flows a second that a cold backend server bears; 0 if not stated.
+  double cold_flows_per_second = 0;
+  /// Flows that a backend server holds at most.
+  uint32_t max_flows = 0;
+};
+
+/// One version of the whole configuration.
+struct route_table {
+  uint64_t version = 0;
+  std::vector<service_route> routes;
+  std::vector<service_limits> services;
+  /// Flows without packets for longer may be forgotten.
+  duration idle_timeout = std::chrono::seconds(15);
+};
+
+enum class server_state : uint8_t { kReady, kDraining };
+
+template <>
+struct enum_names<server_state> {
+  static constexpr std::string_view kNames[] = {"ready", "draining"};
+};
+
+/// A backend server as it registered itself.
+struct server_entry {
+  backend_server_id id;
+  std::string service;
+  endpoint address;
+  std::string failure_domain;
+  server_state state = server_state::kReady;
+  /// Requests that it works on at once.
+  uint32_t slots = 1;
+  /// Until when it is slow after its start; before now if it is warm.
+  time_point cold_until{};
+  /// Wall-clock millisecond of its start; tells one life from the next.
+  int64_t born_ms = 0;
+};
+
+/// Everything that an instance knows from the store.
+struct catalog {
+  route_table routes;
+  /// By the name of the entry.
+  std::map<std::string, server_entry> servers;
+  /// Names of failure domains whose backend servers get nothing new.
+  std::vector<std::string> withdrawn_domains;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_CATALOG_CATALOG_H_
--- /dev/null
+++ b/poplarstair/catalog/catalog_replica.h
@@ -0,0 +1,60 @@
+// An instance's copy of the catalog, fed by the store or by other instances.
+#ifndef POPLARSTAIR_CATALOG_CATALOG_REPLICA_H_
+#define POPLARSTAIR_CATALOG_CATALOG_REPLICA_H_
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "poplarstair/catalog/store_call.h"
+#include "poplarstair/core/log_record.h"
+
+namespace poplarstair {
+
+/// Each collection has the store's revision that it is the state of. A
+/// revision only grows, and so does the version of the routes, whoever hands
+/// over what.
+class catalog_replica {
+ public:
+  explicit catalog_replica(log_hook log) : log_(std::move(log)) {}
+
+  // All return true if the copy is another one now.
+
+  /// The whole collection from the store.
+  bool Replace(time_point now, collection what, store_revision revision,
+               const std::vector<store_object>& objects);
+  /// Changes from the store.
+  bool Change(time_point now, collection what, store_revision revision,
+              const std::vector<store_object>& objects);
+  /// What Export gave at another instance; ignored if it is not newer. Throws
+  /// malformed_message.
+  bool Import(time_point now, collection what, std::string_view exported);
+
+  /// The whole collection for another instance.
+  std::string Export(time_point now, collection what) const;
+
+  const catalog& Current() const { return catalog_; }
+  /// 0 if nothing is known.
+  store_revision Revision(collection what) const {
+    return revisions_[static_cast<size_t>(what)];
+  }
+  /// True if every collection is known.
+  bool IsComplete() const;
+
+ private:
+  void Apply(collection what, const store_object& object);
+  void Erase(collection what, const std::string& name);
+  bool TakeRoutes(const route_table& routes);
+  void SetRevision(collection what, store_revision revision) {
+    revisions_[static_cast<size_t>(what)] = revision;
+  }
+
+  const log_hook log_;
+  catalog catalog_;
+  std::array<store_revision, kCollections> revisions_{};
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_CATALOG_CATALOG_REPLICA_H_
--- /dev/null
+++ b/poplarstair/catalog/store_follower.cc
@@ -0,0 +1,196 @@
+#include "poplarstair/catalog/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarstair {
+
+namespace {
+
+/// Parts of one instance number their calls in ranges of their own, so that an
+/// answer finds its part by the number alone.
+constexpr uint64_t kCallsPerCollection = 1ULL << 48;
+
+enum class follow_phase : uint8_t { kStopped, kListing, kWatching, kPausing };
+
+}  // namespace
+
+class store_follower::impl {
+ public:
+  impl(collection what, const follower_settings& settings, random_source random,
+       hooks actions)
+      : what_(what),
+        settings_(settings),
+        random_(random),
+        actions_(std::move(actions)),
+        last_call_(kCallsPerCollection * (1 + static_cast<uint64_t>(what))) {}
+
+  void Follow(time_point now, store_revision known) {
+    if (phase_ != follow_phase::kStopped) return;
+    revision_ = known;
+    pause_ = settings_.first_pause;
+    CallAgain(now);
+  }
+
+  void Stop() {
+    phase_ = follow_phase::kStopped;
+    awaited_ = 0;
+  }
+
+  void Restart(time_point now) {
+    if (phase_ == follow_phase::kStopped) return;
+    revision_ = 0;
+    confirmed_at_ = time_point{};
+    CallAgain(now);
+  }
+
+  void OnReply(time_point now, store_reply reply) {
+    if (reply.id != awaited_ || awaited_ == 0) return;
+    awaited_ = 0;
+    if (reply.status != store_status::kOk) return OnFailure(now, reply.status);
+    if (is_lost_) {
+      actions_.log(log_record("store_regained")
+                       .With("collection", NameOf(what_))
+                       .With("revision", reply.revision));
+      is_lost_ = false;
+    }
+    pause_ = settings_.first_pause;
+    if (phase_ == follow_phase::kListing) {
+      OnPage(now, std::move(reply));
+    } else {
+      OnEvents(now, std::move(reply));
+    }
+  }
+
+  void OnTick(time_point now) {
+    if (phase_ == follow_phase::kPausing && now >= resume_at_) CallAgain(now);
+  }
+
+  bool IsFollowing() const { return phase_ != follow_phase::kStopped; }
+  bool Awaits(uint64_t id) const { return awaited_ != 0 && id == awaited_; }
+
+  time_point ConfirmedAt(time_point now) const {
+    const bool is_waiting = phase_ == follow_phase::kWatching && awaited_ != 0;
+    if (is_waiting && !is_lost_) return now;
+    return confirmed_at_;
+  }
+
+ private:
+  void CallAgain(time_point now) {
+    if (revision_ == 0) {
+      listed_.clear();
+      List("");
+    } else {
+      Watch(now);
+    }
+  }
+
+  void List(const std::string& after) {
+    phase_ = follow_phase::kListing;
+    store_request request;
+    request.operation = store_operation::kList;
+    request.after = after;
+    request.timeout = settings_.call_timeout;
+    Send(std::move(request));
+  }
+
+  void Watch(time_point /*now*/) {
+    phase_ = follow_phase::kWatching;
+    store_request request;
+    request.operation = store_operation::kWatch;
+    request.revision = revision_;
+    request.wait = settings_.watch_wait;
+    request.timeout = settings_.watch_wait + settings_.call_timeout;
+    Send(std::move(request));
+  }
+
+  void Send(store_request request) {
+    awaited_ = ++last_call_;
+    request.id = awaited_;
+    request.what = what_;
+    actions_.call(std::move(request));
+  }
+
+  void OnPage(time_point now, store_reply reply) {
+    // Later pages may be newer; watching from the first one's revision repeats
+    // what they already hold, but misses nothing.
+    if (listed_.empty()) first_page_revision_ = reply.revision;
+    std::move(reply.objects.begin(), reply.objects.end(),
+              std::back_inserter(listed_));
+    if (reply.has_more && !listed_.empty()) return List(listed_.back().name);
+    revision_ = first_page_revision_;
+    confirmed_at_ = now;
+    actions_.replaced(revision_, std::exchange(listed_, {}));
+    Watch(now);
+  }
+
+  void OnEvents(time_point now, store_reply reply) {
+    confirmed_at_ = now;
+    revision_ = std::max(revision_, reply.revision);
+    if (!reply.objects.empty()) {
+      actions_.changed(revision_, std::move(reply.objects));
+    }
+    Watch(now);
+  }
+
+  void OnFailure(time_point now, store_status status) {
+    if (status == store_status::kHistoryGone) {
+      actions_.log(log_record("store_history_gone")
+                       .With("collection", NameOf(what_))
+                       .With("revision", revision_));
+      revision_ = 0;
+      return CallAgain(now);
+    }
+    if (!is_lost_) {
+      actions_.log(log_record("store_lost", log_level::kWarning)
+                       .With("collection", NameOf(what_))
+                       .With("status", NameOf(status))
+                       .With("revision", revision_));
+    }
+    is_lost_ = true;
+    phase_ = follow_phase::kPausing;
+    const double spread = 0.75 + 0.5 * RandomUnit(random_);
+    resume_at_ = now + duration(static_cast<int64_t>(pause_.count() * spread));
+    pause_ = std::min(pause_ * 2, settings_.longest_pause);
+  }
+
+  const collection what_;
+  const follower_settings settings_;
+  random_source random_;
+  const hooks actions_;
+  follow_phase phase_ = follow_phase::kStopped;
+  /// What is known; 0 for nothing.
+  store_revision revision_ = 0;
+  store_revision first_page_revision_ = 0;
+  std::vector<store_object> listed_;
+  uint64_t last_call_;
+  /// The call under way; 0 for none.
+  uint64_t awaited_ = 0;
+  bool is_lost_ = false;
+  duration pause_{};
+  time_point resume_at_{};
+  time_point confirmed_at_ = time_point{};
+};
+
+store_follower::store_follower(collection what,
+                               const follower_settings& settings,
+                               random_source random, hooks actions)
+    : impl_(
+          std::make_unique<impl>(what, settings, random, std::move(actions))) {}
+store_follower::~store_follower() = default;
+void store_follower::Follow(time_point now, store_revision known) {
+  impl_->Follow(now, known);
+}
+void store_follower::Stop() { impl_->Stop(); }
+void store_follower::Restart(time_point now) { impl_->Restart(now); }
+void store_follower::OnReply(time_point now, store_reply reply) {
+  impl_->OnReply(now, std::move(reply));
+}
+void store_follower::OnTick(time_point now) { impl_->OnTick(now); }
+bool store_follower::IsFollowing() const { return impl_->IsFollowing(); }
+bool store_follower::Awaits(uint64_t id) const { return impl_->Awaits(id); }
+time_point store_follower::ConfirmedAt(time_point now) const {
+  return impl_->ConfirmedAt(now);
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/catalog/store_follower.h
@@ -0,0 +1,67 @@
+// Keeps one collection of the store up to date: lists it, then watches it.
+#ifndef POPLARSTAIR_CATALOG_STORE_FOLLOWER_H_
+#define POPLARSTAIR_CATALOG_STORE_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+
+#include "poplarstair/catalog/store_call.h"
+#include "poplarstair/core/log_record.h"
+#include "poplarstair/core/random.h"
+
+namespace poplarstair {
+
+struct follower_settings {
+  /// How long the store may hold a watch. Bounds how long an instance takes
+  /// its data for current while the store answers it nothing.
+  duration watch_wait = std::chrono::seconds(5);
+  /// Longest wait for an answer beyond `watch_wait`.
+  duration call_timeout = std::chrono::milliseconds(1200);
+  /// Pause after a failed call; doubles up to `longest_pause`. Every call has
+  /// its price, refused ones too.
+  duration first_pause = std::chrono::milliseconds(150);
+  duration longest_pause = std::chrono::milliseconds(1200);
+};
+
+/// Deterministic: time and answers come in, calls go out through hooks.
+class store_follower {
+ public:
+  struct hooks {
+    store_hook call;
+    /// The whole collection as of the revision.
+    std::function<void(store_revision, std::vector<store_object>)> replaced;
+    /// Single changes up to the revision.
+    std::function<void(store_revision, std::vector<store_object>)> changed;
+    log_hook log;
+  };
+
+  store_follower(collection what, const follower_settings& settings,
+                 random_source random, hooks actions);
+  ~store_follower();
+
+  /// Follows from now on. `known` is the revision of what a peer has handed
+  /// over, or 0 to list everything.
+  void Follow(time_point now, store_revision known);
+  /// Makes no more calls; an answer under way is ignored.
+  void Stop();
+  /// Drops the call under way and lists anew, e.g. after a pause.
+  void Restart(time_point now);
+
+  void OnReply(time_point now, store_reply reply);
+  void OnTick(time_point now);
+
+  bool IsFollowing() const;
+  /// True if `id` is the call under way.
+  bool Awaits(uint64_t id) const;
+  /// When the store last confirmed that nothing is missing: now while a watch
+  /// is waiting within its time, else the last answer; time_point{} if never.
+  time_point ConfirmedAt(time_point now) const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_CATALOG_STORE_FOLLOWER_H_
--- a/poplarstair/config/config_agent.h
+++ b/poplarstair/config/config_agent.h
@@ -12,7 +12,7 @@
 #include "poplarstair/core/random.h"
 #include "poplarstair/core/time.h"
 #include "poplarstair/membership/member.h"
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 
 namespace poplarstair {
 
--- a/poplarstair/config/config_publisher.h
+++ b/poplarstair/config/config_publisher.h
@@ -9,7 +9,7 @@
 #include "poplarstair/config/config_loader.h"
 #include "poplarstair/config/content_tree.h"
 #include "poplarstair/core/error.h"
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 
 namespace poplarstair {
 
--- a/poplarstair/config/toml_reader.cc
+++ b/poplarstair/config/toml_reader.cc
@@ -220,8 +220,19 @@
 std::vector<endpoint> toml_reader::RequiredEndpoints(std::string_view key) {
   const toml::node* node = Require(key);
   if (node == nullptr) return {};
+  if (node->is_array() && node->as_array()->empty()) {
+    ReportNode(config_fault::kWrongType, key, *node,
+               "must name at least one address and port");
+    return {};
+  }
+  return Endpoints(key);
+}
+
+std::vector<endpoint> toml_reader::Endpoints(std::string_view key) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return {};
   const toml::array* items = node->as_array();
-  if (items == nullptr || items->empty()) {
+  if (items == nullptr) {
     ReportNode(config_fault::kWrongType, key, *node,
                "must be a list of addresses and ports");
     return {};
--- a/poplarstair/config/toml_reader.h
+++ b/poplarstair/config/toml_reader.h
@@ -49,6 +49,8 @@
                     duration highest);
   endpoint RequiredEndpoint(std::string_view key);
   std::vector<endpoint> RequiredEndpoints(std::string_view key);
+  /// May be absent or empty.
+  std::vector<endpoint> Endpoints(std::string_view key);
   template <typename Enum>
   Enum Choice(std::string_view key, Enum fallback);
 
--- a/poplarstair/core/counters.cc
+++ b/poplarstair/core/counters.cc
@@ -20,6 +20,15 @@
   return FindOrCreate(name, help, metric_kind::kGauge);
 }
 
+latency_histogram& metric_registry::Histogram(std::string_view name,
+                                              std::string_view help) {
+  const std::string full_name = std::string(kPrefix) + std::string(name);
+  for (latency_histogram& h : histograms_) {
+    if (h.Name() == full_name) return h;
+  }
+  return histograms_.emplace_back(full_name, std::string(help));
+}
+
 metric& metric_registry::FindOrCreate(std::string_view name,
                                       std::string_view help, metric_kind kind) {
   const std::string full_name = std::string(kPrefix) + std::string(name);
@@ -42,6 +51,7 @@
     }
     text += m.Name() + " " + std::to_string(m.Value()) + "\n";
   }
+  for (const latency_histogram& h : histograms_) text += h.ToPrometheusText();
   return text;
 }
 
--- a/poplarstair/core/counters.h
+++ b/poplarstair/core/counters.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "poplarstair/core/histogram.h"
+
 namespace poplarstair {
 
 enum class metric_kind : uint8_t { kCounter, kGauge };
@@ -39,6 +41,7 @@
   /// as in `packets_dropped{reason="malformed"}`; it gets the project's prefix.
   metric& Counter(std::string_view name, std::string_view help);
   metric& Gauge(std::string_view name, std::string_view help);
+  latency_histogram& Histogram(std::string_view name, std::string_view help);
 
   /// Every metric in Prometheus text format, in order of creation.
   std::string ToPrometheusText() const;
@@ -51,6 +54,7 @@
                        metric_kind kind);
 
   std::deque<metric> metrics_;
+  std::deque<latency_histogram> histograms_;
 };
 
 }  // namespace poplarstair
--- a/poplarstair/core/endpoint.cc
+++ b/poplarstair/core/endpoint.cc
@@ -13,6 +13,11 @@
 
 namespace {
 
+// Sizes of a packed endpoint's parts.
+constexpr size_t kV4Bytes = 4;
+constexpr size_t kV6Bytes = 16;
+constexpr size_t kPortBytes = 2;
+
 constexpr std::array<uint8_t, 12> kV4MappedPrefix = {0, 0, 0, 0, 0,    0,
                                                      0, 0, 0, 0, 0xff, 0xff};
 
@@ -91,4 +96,35 @@
   return shown + ":" + std::to_string(port);
 }
 
+std::string endpoint::Pack() const {
+  std::string packed;
+  const auto& bytes = address.Bytes();
+  const size_t skipped = address.IsV4() ? kV6Bytes - kV4Bytes : 0;
+  packed.append(bytes.begin() + skipped, bytes.end());
+  packed.push_back(static_cast<char>(port >> 8));
+  packed.push_back(static_cast<char>(port & 0xff));
+  return packed;
+}
+
+endpoint endpoint::Unpack(std::string_view packed) {
+  const auto byte_at = [packed](size_t i) {
+    return static_cast<uint8_t>(packed[i]);
+  };
+  endpoint e;
+  if (packed.size() == kV4Bytes + kPortBytes) {
+    uint32_t value = 0;
+    for (size_t i = 0; i < kV4Bytes; ++i) value = value << 8 | byte_at(i);
+    e.address = ip_address::FromV4(value);
+  } else if (packed.size() == kV6Bytes + kPortBytes) {
+    std::array<uint8_t, kV6Bytes> bytes{};
+    std::copy_n(packed.begin(), kV6Bytes, bytes.begin());
+    e.address = ip_address(bytes);
+  } else {
+    throw malformed_message("endpoint", "length of an address");
+  }
+  const size_t at = packed.size() - kPortBytes;
+  e.port = static_cast<uint16_t>(byte_at(at) << 8 | byte_at(at + 1));
+  return e;
+}
+
 }  // namespace poplarstair
--- a/poplarstair/core/endpoint.h
+++ b/poplarstair/core/endpoint.h
@@ -46,6 +46,11 @@
   static endpoint Parse(std::string_view text);
   std::string ToString() const;
 
+  /// Address and port in network byte order, 6 or 18 bytes.
+  std::string Pack() const;
+  /// Throws malformed_message.
+  static endpoint Unpack(std::string_view packed);
+
   friend constexpr auto operator<=>(const endpoint&, const endpoint&) = default;
 
   template <typename H>
--- a/poplarstair/core/log_record.h
+++ b/poplarstair/core/log_record.h
@@ -10,10 +10,18 @@
 #include <utility>
 #include <vector>
 
+#include "poplarstair/core/enum_names.h"
+
 namespace poplarstair {
 
 enum class log_level : uint8_t { kDebug, kInfo, kWarning, kError };
 
+template <>
+struct enum_names<log_level> {
+  static constexpr std::string_view kNames[] = {"debug", "info", "warning",
+                                                "error"};
+};
+
 /// Built field by field: `log_record("drain").With("server", name)`.
 class log_record {
  public:
@@ -40,7 +48,7 @@
   std::vector<std::pair<std::string, std::string>> fields_;
 };
 
-/// Where the core sends its log records; the daemon hands them to log4cplus.
+/// Where the core sends its log records; the daemon writes them to its log.
 using log_hook = std::function<void(const log_record&)>;
 
 }  // namespace poplarstair
--- a/poplarstair/ctl/ctl.cc
+++ b/poplarstair/ctl/ctl.cc
@@ -13,7 +13,7 @@
 #include "poplarstair/config/config_publisher.h"
 #include "poplarstair/core/file.h"
 #include "poplarstair/ctl/command_line.h"
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 namespace poplarstair {
 
--- a/poplarstair/ctl/ctl_files.cc
+++ b/poplarstair/ctl/ctl_files.cc
@@ -10,7 +10,7 @@
 #include "poplarstair/core/flow_key.h"
 #include "poplarstair/ctl/command_line.h"
 #include "poplarstair/ctl/ctl.h"
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 namespace poplarstair {
 
--- a/poplarstair/daemon/daemon.cc
+++ b/poplarstair/daemon/daemon.cc
@@ -55,14 +55,15 @@
 
 /// Re-reads the settings that may change while the daemon runs.
 void Reload(const daemon_settings& running, const std::string& settings_file,
-            const log_hook& log) {
+            daemon_log& lines) {
+  const log_hook log = lines.Hook();
   try {
     const daemon_settings fresh = ReadDaemonSettings(settings_file);
     if (!SameButForLog(running, fresh)) {
       log(log_record("settings_need_restart", log_level::kWarning)
               .With("file", settings_file));
     }
-    ConfigureLog(fresh.log);
+    lines.Configure(fresh.log);
     log(log_record("settings_reloaded").With("file", settings_file));
   } catch (const error& failure) {
     log(log_record("settings_rejected", log_level::kError)
@@ -75,10 +76,10 @@
 
 void RunDaemon(const daemon_settings& settings,
                const std::string& settings_file) {
-  ConfigureLog(settings.log);
-  const log_hook log = MakeLogHook(settings.name);
-  const incarnation life = NewIncarnation();
   event_loop loop;
+  daemon_log lines(loop, settings.name, settings.log);
+  const log_hook log = lines.Hook();
+  const incarnation life = NewIncarnation();
   switchboard board;
   supervisor root(loop, {}, log);
   root.AddChild("balancer", [&](event_loop& scope) {
@@ -105,7 +106,7 @@
   signal_watcher on_term(loop, SIGTERM, begin_stop);
   signal_watcher on_interrupt(loop, SIGINT, begin_stop);
   signal_watcher on_hangup(loop, SIGHUP,
-                           [&] { Reload(settings, settings_file, log); });
+                           [&] { Reload(settings, settings_file, lines); });
   loop.Run();
   log(log_record("stopped"));
 }
--- a/poplarstair/daemon/daemon_log.cc
+++ b/poplarstair/daemon/daemon_log.cc
@@ -1,60 +1,75 @@
 #include "poplarstair/daemon/daemon_log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+#include "poplarstair/core/error.h"
+#include "poplarstair/daemon/bounded_log.h"
+#include "poplarstair/io/socket.h"
 
 namespace poplarstair {
 
 namespace {
 
-constexpr const char* kLinePattern =
-    "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n";
-
-log4cplus::LogLevel ToLibraryLevel(log_level level) {
-  switch (level) {
-    case log_level::kDebug:
-      return log4cplus::DEBUG_LOG_LEVEL;
-    case log_level::kInfo:
-      return log4cplus::INFO_LOG_LEVEL;
-    case log_level::kWarning:
-      return log4cplus::WARN_LOG_LEVEL;
-    case log_level::kError:
-      return log4cplus::ERROR_LOG_LEVEL;
-  }
-  return log4cplus::INFO_LOG_LEVEL;
-}
+constexpr duration kInterval = std::chrono::seconds(1);
+constexpr mode_t kFileMode = 0644;
 
-log4cplus::SharedAppenderPtr MakeAppender(const std::string& file) {
-  if (file.empty()) {
-    return log4cplus::SharedAppenderPtr(
-        new log4cplus::ConsoleAppender(/*logToStdErr=*/true));
-  }
-  return log4cplus::SharedAppenderPtr(
-      new log4cplus::FileAppender(file, std::ios_base::app));
+unique_fd OpenLog(const std::string& file) {
+  if (file.empty()) return {};
+  unique_fd opened(
+      open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode));
+  if (!opened.IsOpen()) throw system_failure("open " + file, errno);
+  return opened;
 }
 
 }  // namespace
 
-void ConfigureLog(const log_settings& settings) {
-  log4cplus::initialize();
-  log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.removeAllAppenders();
-  const log4cplus::SharedAppenderPtr appender = MakeAppender(settings.file);
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern));
-  root.addAppender(appender);
-  root.setLogLevel(ToLibraryLevel(settings.level));
-}
+class daemon_log::impl {
+ public:
+  impl(event_loop& loop, const std::string& instance,
+       const log_settings& settings)
+      : instance_(instance), timer_(loop, [this] { lines_->OnSecond(); }) {
+    Configure(settings);
+    timer_.StartRepeating(kInterval);
+  }
 
-log_hook MakeLogHook(const std::string& instance_name) {
-  const log4cplus::Logger logger = log4cplus::Logger::getRoot();
-  return [logger, instance_name](const log_record& record) {
-    const log4cplus::LogLevel level = ToLibraryLevel(record.Level());
-    if (!logger.isEnabledFor(level)) return;
-    logger.log(level, "instance=" + instance_name + " " + record.ToLine());
-  };
+  ~impl() { lines_->Flush(); }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  void Configure(const log_settings& settings) {
+    unique_fd file = OpenLog(settings.file);
+    if (lines_) lines_->Flush();
+    bounded_log_settings bounds;
+    bounds.level = settings.level;
+    const int descriptor = file.IsOpen() ? file.Get() : STDOUT_FILENO;
+    lines_ = std::make_unique<bounded_log>(descriptor, instance_, bounds);
+    file_ = std::move(file);
+  }
+
+  void Write(const log_record& record) { lines_->Write(record); }
+  void Flush() { lines_->Flush(); }
+
+ private:
+  const std::string instance_;
+  unique_fd file_;
+  std::unique_ptr<bounded_log> lines_;
+  timer_watcher timer_;
+};
+
+daemon_log::daemon_log(event_loop& loop, const std::string& instance,
+                       const log_settings& settings)
+    : impl_(std::make_unique<impl>(loop, instance, settings)) {}
+daemon_log::~daemon_log() = default;
+void daemon_log::Configure(const log_settings& settings) {
+  impl_->Configure(settings);
+}
+log_hook daemon_log::Hook() {
+  return [this](const log_record& record) { impl_->Write(record); };
 }
+void daemon_log::Flush() { impl_->Flush(); }
 
 }  // namespace poplarstair
--- a/poplarstair/daemon/daemon_log.h
+++ b/poplarstair/daemon/daemon_log.h
@@ -1,18 +1,36 @@
-// Writes log records through log4cplus, one line an event.
+// The log of a running daemon: where its lines go and which are left out.
 #ifndef POPLARSTAIR_DAEMON_DAEMON_LOG_H_
 #define POPLARSTAIR_DAEMON_DAEMON_LOG_H_
 
+#include <memory>
+#include <string>
+
 #include "poplarstair/core/log_record.h"
 #include "poplarstair/daemon/daemon_settings.h"
+#include "poplarstair/io/event_loop.h"
 
 namespace poplarstair {
 
-/// Sets log4cplus up for the process; may be called again to change settings.
-void ConfigureLog(const log_settings& settings);
+/// One line of key=value pairs an event; each starts with time, level and
+/// instance. Writing never blocks: see bounded_log.
+class daemon_log {
+ public:
+  /// Throws system_failure if the file can't be opened.
+  daemon_log(event_loop& loop, const std::string& instance,
+             const log_settings& settings);
+  ~daemon_log();
+
+  /// Changes where lines go. Throws system_failure, and then stays as it was.
+  void Configure(const log_settings& settings);
+  /// Valid as long as the log.
+  log_hook Hook();
+  /// Hands over what is buffered, e.g. before the process ends.
+  void Flush();
 
-/// A hook that writes to the log; each line starts with time, level and
-/// `instance=NAME`.
-log_hook MakeLogHook(const std::string& instance_name);
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
 
 }  // namespace poplarstair
 
--- a/poplarstair/daemon/daemon_settings.cc
+++ b/poplarstair/daemon/daemon_settings.cc
@@ -5,12 +5,6 @@
 
 namespace poplarstair {
 
-template <>
-struct enum_names<log_level> {
-  static constexpr std::string_view kNames[] = {"debug", "info", "warning",
-                                                "error"};
-};
-
 namespace {
 
 using problem_list = std::vector<config_problem>;
--- a/poplarstair/daemon/daemon_settings.h
+++ b/poplarstair/daemon/daemon_settings.h
@@ -14,7 +14,7 @@
 
 struct log_settings {
   log_level level = log_level::kInfo;
-  /// Empty for standard error.
+  /// Empty for standard output.
   std::string file;
 };
 
--- /dev/null
+++ b/poplarstair/daemon/entry_board.h
@@ -0,0 +1,80 @@
+// The mailboxes of a cookie-steering instance's tasks.
+#ifndef POPLARSTAIR_DAEMON_ENTRY_BOARD_H_
+#define POPLARSTAIR_DAEMON_ENTRY_BOARD_H_
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "poplarstair/catalog/store_call.h"
+#include "poplarstair/core/endpoint.h"
+#include "poplarstair/daemon/mailbox.h"
+
+namespace poplarstair {
+
+// To the steering task.
+
+struct digest_received {
+  std::string bytes;
+};
+
+struct collection_fetched {
+  endpoint peer;
+  collection what = collection::kRoutes;
+  /// Empty if the instance did not answer.
+  std::string exported;
+};
+
+struct server_checked {
+  backend_server_id server;
+  bool is_reachable = false;
+};
+
+struct entry_stop {};
+
+struct seeds_changed {
+  std::vector<endpoint> seeds;
+};
+
+/// What HTTP callers ask for. Answered with the status and the page.
+struct entry_query {
+  enum class page : uint8_t { kReady, kState, kMetrics, kCollection };
+
+  page wanted = page::kReady;
+  collection what = collection::kRoutes;
+  std::function<void(int status, std::string body)> answer;
+};
+
+using steering_message =
+    std::variant<store_reply, digest_received, collection_fetched,
+                 server_checked, entry_stop, seeds_changed, entry_query>;
+
+// From the steering task.
+
+struct digest_to_send {
+  endpoint peer;
+  std::string bytes;
+};
+
+struct collection_wanted {
+  endpoint peer;
+  collection what = collection::kRoutes;
+};
+
+struct server_to_check {
+  backend_server_id server;
+  endpoint address;
+};
+
+struct entry_board {
+  mailbox<steering_message> steering;
+  mailbox<store_request> store;
+  mailbox<digest_to_send> digests;
+  mailbox<collection_wanted> fetches;
+  mailbox<server_to_check> checks;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_DAEMON_ENTRY_BOARD_H_
--- /dev/null
+++ b/poplarstair/daemon/entry_file.h
@@ -0,0 +1,47 @@
+// The settings file of an entry instance that steers flows by cookies.
+#ifndef POPLARSTAIR_DAEMON_ENTRY_FILE_H_
+#define POPLARSTAIR_DAEMON_ENTRY_FILE_H_
+
+#include <string>
+#include <vector>
+
+#include "poplarstair/core/endpoint.h"
+#include "poplarstair/core/time.h"
+
+namespace poplarstair {
+
+struct entry_file {
+  std::string name;
+  std::string failure_domain;
+
+  // Addresses that it listens on.
+  /// Packets of callers' flows, from the fabric.
+  endpoint packets;
+  /// The fabric's question whether to send flows here.
+  endpoint ready;
+  /// State, metrics, and the catalog for other instances.
+  endpoint control;
+  /// Digests of other instances; all instances use the same port.
+  endpoint digests;
+  endpoint metrics;
+
+  /// Holds routes, backend servers and withdrawals.
+  endpoint store;
+  /// Control addresses of some instances, for the first digests.
+  std::vector<endpoint> seeds;
+  /// How long packets are still forwarded after the fabric has been told. It
+  /// asks twice a second and turns away after two refusals.
+  duration leave_time = std::chrono::milliseconds(2500);
+
+  friend bool operator==(const entry_file&, const entry_file&) = default;
+};
+
+/// True if the text is a settings file of this kind.
+bool IsEntryFile(const std::string& text, const std::string& file);
+
+/// `file` is used in messages. Throws config_error with all problems found.
+entry_file ParseEntryFile(const std::string& text, const std::string& file);
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_DAEMON_ENTRY_FILE_H_
--- a/poplarstair/daemon/platform_task.cc
+++ b/poplarstair/daemon/platform_task.cc
@@ -1,6 +1,6 @@
 #include "poplarstair/daemon/platform_task.h"
 
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 namespace poplarstair {
 
--- /dev/null
+++ b/poplarstair/daemon/reach_task.h
@@ -0,0 +1,38 @@
+// Tests whether silent backend servers take connections.
+#ifndef POPLARSTAIR_DAEMON_REACH_TASK_H_
+#define POPLARSTAIR_DAEMON_REACH_TASK_H_
+
+#include <map>
+#include <memory>
+
+#include "poplarstair/daemon/entry_board.h"
+#include "poplarstair/daemon/task.h"
+#include "poplarstair/io/socket.h"
+
+namespace poplarstair {
+
+/// A connection that is opened and closed costs the server no slot, and no
+/// caller has to wait for the outcome.
+class reach_task : public task {
+ public:
+  reach_task(event_loop& loop, entry_board& board);
+  ~reach_task() override;
+
+ private:
+  struct attempt {
+    unique_fd connection;
+    std::unique_ptr<io_watcher> watcher;
+    std::unique_ptr<timer_watcher> timer;
+  };
+
+  void Start(const server_to_check& wanted);
+  void Finish(backend_server_id server, bool is_reachable);
+
+  event_loop& loop_;
+  entry_board& board_;
+  std::map<backend_server_id, attempt> attempts_;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_DAEMON_REACH_TASK_H_
--- a/poplarstair/daemon/switchboard.h
+++ b/poplarstair/daemon/switchboard.h
@@ -11,7 +11,7 @@
 #include "poplarstair/core/peer_message.h"
 #include "poplarstair/daemon/mailbox.h"
 #include "poplarstair/membership/member.h"
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 #include "poplarstair/requests/request.h"
 #include "poplarstair/routing/flow_plane.h"
 
--- a/poplarstair/emulator/live_instances.cc
+++ b/poplarstair/emulator/live_instances.cc
@@ -5,7 +5,7 @@
 
 #include "poplarstair/balancer/instance_list.h"
 #include "poplarstair/core/error.h"
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 namespace poplarstair {
 
--- a/poplarstair/emulator/platform_emulator.cc
+++ b/poplarstair/emulator/platform_emulator.cc
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "poplarstair/io/http_server.h"
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 namespace poplarstair {
 
--- a/poplarstair/io/http_client.cc
+++ b/poplarstair/io/http_client.cc
@@ -1,202 +1,240 @@
 #include "poplarstair/io/http_client.h"
 
-#include <curl/curl.h>
+#include <http_parser.h>
 
 #include <algorithm>
 #include <cctype>
+#include <string_view>
+#include <utility>
 
-#include "poplarstair/core/assert.h"
+#include "poplarstair/core/endpoint.h"
+#include "poplarstair/core/error.h"
+#include "poplarstair/io/socket.h"
+#include "poplarstair/io/stream.h"
 
 namespace poplarstair {
 
 namespace {
 
-void EnsureCurl() {
-  static const CURLcode kStatus = curl_global_init(CURL_GLOBAL_DEFAULT);
-  POPLARSTAIR_ASSERT(kStatus == CURLE_OK);
+/// Larger answers are cut off: no object or page of ours is near this size.
+constexpr size_t kMaxAnswerBytes = 16 << 20;
+
+/// What a call's URL names.
+struct call_target {
+  endpoint remote;
+  std::string path;
+};
+
+call_target ParseUrl(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  if (!url.starts_with(kScheme)) throw invalid_address(url);
+  const size_t slash = std::min(url.find('/', kScheme.size()), url.size());
+  call_target target;
+  target.remote = endpoint::Parse(
+      std::string_view(url).substr(kScheme.size(), slash - kScheme.size()));
+  target.path = slash == url.size() ? "/" : url.substr(slash);
+  return target;
 }
 
-void AddHeaderLine(std::string_view line, http_reply& reply) {
-  const size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return;
-  std::string name(line.substr(0, colon));
-  std::transform(name.begin(), name.end(), name.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  std::string_view value = line.substr(colon + 1);
-  while (!value.empty() && std::isspace(value.front()) != 0) {
-    value.remove_prefix(1);
+std::string FormatRequest(const http_call& call, const call_target& target) {
+  std::string text = call.method + " " + target.path +
+                     " HTTP/1.1\r\nhost: " + target.remote.ToString() + "\r\n";
+  for (const std::string& header : call.headers) text += header + "\r\n";
+  if (!call.body.empty() || call.method != "GET") {
+    text += "content-length: " + std::to_string(call.body.size()) + "\r\n";
   }
-  while (!value.empty() && std::isspace(value.back()) != 0) {
-    value.remove_suffix(1);
-  }
-  reply.headers[name] = std::string(value);
+  return text + "\r\n" + call.body;
 }
 
-/// One call under way, with everything that curl keeps pointers to.
-class transfer {
+/// One connection that carries one call at a time.
+class connection {
  public:
-  explicit transfer(const http_call& call)
-      : call_(call), easy_(curl_easy_init()) {
-    POPLARSTAIR_ASSERT(easy_ != nullptr);
-    for (const std::string& header : call_.headers) {
-      headers_ = curl_slist_append(headers_, header.c_str());
-    }
-    // Otherwise curl waits for "100 Continue" before it sends a body.
-    headers_ = curl_slist_append(headers_, "Expect:");
-    Set(CURLOPT_URL, call_.url.c_str());
-    Set(CURLOPT_CUSTOMREQUEST, call_.method.c_str());
-    Set(CURLOPT_HTTPHEADER, headers_);
-    Set(CURLOPT_NOSIGNAL, 1L);
-    Set(CURLOPT_PROXY, "");
-    Set(CURLOPT_TIMEOUT_MS, static_cast<long>(call_.timeout.count() / 1000));
-    Set(CURLOPT_WRITEFUNCTION, &OnBody);
-    Set(CURLOPT_WRITEDATA, this);
-    Set(CURLOPT_HEADERFUNCTION, &OnHeader);
-    Set(CURLOPT_HEADERDATA, this);
-    Set(CURLOPT_PRIVATE, this);
-    if (!call_.body.empty()) {
-      Set(CURLOPT_POSTFIELDS, call_.body.data());
-      Set(CURLOPT_POSTFIELDSIZE, static_cast<long>(call_.body.size()));
-    }
+  /// The answer, and whether the connection can carry another call.
+  using finish_handler = std::function<void(std::optional<http_reply>, bool)>;
+
+  connection(event_loop& loop, const endpoint& remote)
+      : timer_(loop, [this] { Finish(std::nullopt, false); }),
+        stream_(loop, OpenSocket(remote),
+                {[this](std::string_view bytes) { OnBytes(bytes); },
+                 [this] { OnClosed(); }}) {
+    http_parser_settings_init(&settings_);
+    settings_.on_header_field = &OnHeaderName;
+    settings_.on_header_value = &OnHeaderValue;
+    settings_.on_body = &OnBody;
+    settings_.on_message_complete = &OnComplete;
   }
 
-  ~transfer() {
-    curl_easy_cleanup(easy_);
-    curl_slist_free_all(headers_);
+  void Start(const std::string& request, duration timeout,
+             finish_handler on_finish) {
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    reply_ = {};
+    complete_ = false;
+    on_finish_ = std::move(on_finish);
+    stream_.Write(request);
+    timer_.StartOnce(timeout);
   }
 
-  transfer(const transfer&) = delete;
-  transfer& operator=(const transfer&) = delete;
+  bool IsBroken() const { return is_broken_; }
 
-  CURL* Easy() const { return easy_; }
+ private:
+  static unique_fd OpenSocket(const endpoint& remote) {
+    unique_fd opened = ConnectTcp(remote);
+    DetectSilence(opened);
+    return opened;
+  }
 
-  std::optional<http_reply> Finish(CURLcode code) {
-    if (code != CURLE_OK) return std::nullopt;
-    long status = 0;
-    curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
-    reply_.status = static_cast<int>(status);
-    return std::move(reply_);
+  static connection& Of(http_parser* parser) {
+    return *static_cast<connection*>(parser->data);
   }
 
- private:
-  template <typename Value>
-  void Set(CURLoption option, Value value) {
-    curl_easy_setopt(easy_, option, value);
+  static int OnHeaderName(http_parser* parser, const char* at, size_t length) {
+    connection& self = Of(parser);
+    if (self.in_value_) self.EndHeader();
+    self.header_name_.append(at, length);
+    return 0;
   }
 
-  static size_t OnBody(char* data, size_t size, size_t count, void* self) {
-    static_cast<transfer*>(self)->reply_.body.append(data, size * count);
-    return size * count;
+  static int OnHeaderValue(http_parser* parser, const char* at, size_t length) {
+    connection& self = Of(parser);
+    self.in_value_ = true;
+    self.header_value_.append(at, length);
+    return 0;
   }
 
-  static size_t OnHeader(char* data, size_t size, size_t count, void* self) {
-    AddHeaderLine({data, size * count}, static_cast<transfer*>(self)->reply_);
-    return size * count;
+  static int OnBody(http_parser* parser, const char* at, size_t length) {
+    std::string& body = Of(parser).reply_.body;
+    body.append(at, length);
+    return body.size() > kMaxAnswerBytes ? 1 : 0;
   }
 
-  const http_call call_;
-  CURL* easy_;
-  curl_slist* headers_ = nullptr;
-  http_reply reply_;
-};
+  static int OnComplete(http_parser* parser) {
+    connection& self = Of(parser);
+    if (self.in_value_) self.EndHeader();
+    self.reply_.status = static_cast<int>(parser->status_code);
+    self.complete_ = true;
+    self.reusable_ = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
 
-}  // namespace
+  void EndHeader() {
+    std::transform(header_name_.begin(), header_name_.end(),
+                   header_name_.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    reply_.headers[header_name_] = header_value_;
+    header_name_.clear();
+    header_value_.clear();
+    in_value_ = false;
+  }
 
-class http_client::impl {
- public:
-  explicit impl(event_loop& loop)
-      : loop_(loop), timer_(loop, [this] { OnTimer(); }) {
-    EnsureCurl();
-    multi_ = curl_multi_init();
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocketWanted);
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerWanted);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-  }
-
-  ~impl() {
-    for (auto& [easy, running] : running_) {
-      curl_multi_remove_handle(multi_, easy);
+  void OnBytes(std::string_view bytes) {
+    // Bytes that no call waits for make the connection unusable.
+    if (!on_finish_) {
+      is_broken_ = true;
+      return;
+    }
+    const size_t parsed =
+        http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+    if (complete_) {
+      // A paused parser has not counted the last byte of the message.
+      return Finish(std::move(reply_), reusable_ && parsed + 1 >= bytes.size());
     }
-    running_.clear();
-    curl_multi_cleanup(multi_);
+    if (parsed != bytes.size()) Finish(std::nullopt, false);
   }
 
-  impl(const impl&) = delete;
-  impl& operator=(const impl&) = delete;
-
-  void Start(const http_call& call, http_reply_handler on_reply) {
-    auto started = std::make_unique<transfer>(call);
-    CURL* easy = started->Easy();
-    running_[easy] = {std::move(started), std::move(on_reply)};
-    curl_multi_add_handle(multi_, easy);
+  void OnClosed() {
+    is_broken_ = true;
+    if (!on_finish_) return;
+    // An answer without a length ends with its connection.
+    http_parser_execute(&parser_, &settings_, nullptr, 0);
+    if (complete_) return Finish(std::move(reply_), false);
+    Finish(std::nullopt, false);
   }
 
- private:
-  struct running_call {
-    std::unique_ptr<transfer> work;
-    http_reply_handler on_reply;
-  };
-
-  static int OnSocketWanted(CURL* /*easy*/, curl_socket_t socket, int what,
-                            void* self, void* /*socket_data*/) {
-    static_cast<impl*>(self)->Watch(socket, what);
-    return 0;
+  void Finish(std::optional<http_reply> reply, bool reusable) {
+    timer_.Stop();
+    const finish_handler on_finish = std::exchange(on_finish_, nullptr);
+    if (on_finish) on_finish(std::move(reply), reusable && !is_broken_);
   }
 
-  static int OnTimerWanted(CURLM* /*multi*/, long milliseconds, void* self) {
-    auto* client = static_cast<impl*>(self);
-    if (milliseconds < 0) {
-      client->timer_.Stop();
-    } else {
-      client->timer_.StartOnce(std::chrono::milliseconds(milliseconds));
-    }
-    return 0;
-  }
+  timer_watcher timer_;
+  http_parser parser_{};
+  http_parser_settings settings_{};
+  http_reply reply_;
+  std::string header_name_;
+  std::string header_value_;
+  bool in_value_ = false;
+  bool complete_ = false;
+  bool reusable_ = false;
+  bool is_broken_ = false;
+  finish_handler on_finish_;
+  stream stream_;
+};
 
-  void Watch(curl_socket_t socket, int what) {
-    if (what == CURL_POLL_REMOVE) {
-      watchers_.erase(socket);
+}  // namespace
+
+class http_client::impl {
+ public:
+  explicit impl(event_loop& loop) : loop_(loop) {}
+
+  void Start(const http_call& call, http_reply_handler on_reply) {
+    const call_target target = ParseUrl(call.url);
+    const uint64_t id = ++last_id_;
+    std::unique_ptr<connection> carrier;
+    try {
+      carrier = TakeConnection(target.remote);
+    } catch (const system_failure&) {
+      // The caller learns it as any other missing answer, after this handler.
+      loop_.Post([on_reply = std::move(on_reply)] { on_reply(std::nullopt); });
       return;
     }
-    auto& watcher = watchers_[socket];
-    if (!watcher) {
-      watcher = std::make_unique<io_watcher>(
-          loop_, socket, [this, socket](io_watcher::readiness ready) {
-            const int events = (ready.readable ? CURL_CSELECT_IN : 0) |
-                               (ready.writable ? CURL_CSELECT_OUT : 0);
-            Advance(socket, events);
+    connection& started = *carrier;
+    running_[id] = std::move(carrier);
+    started.Start(
+        FormatRequest(call, target), call.timeout,
+        [this, id, remote = target.remote, on_reply = std::move(on_reply)](
+            std::optional<http_reply> reply, bool reusable) mutable {
+          // The connection is still on the stack: let go of it afterwards.
+          loop_.Post([this, id, remote, reusable, reply = std::move(reply),
+                      on_reply = std::move(on_reply)]() mutable {
+            Release(id, remote, reusable);
+            on_reply(std::move(reply));
           });
-    }
-    watcher->WaitFor({(what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0});
+        });
   }
 
-  void OnTimer() { Advance(CURL_SOCKET_TIMEOUT, 0); }
+  void CloseIdle() { idle_.clear(); }
 
-  void Advance(curl_socket_t socket, int events) {
-    int still_running = 0;
-    curl_multi_socket_action(multi_, socket, events, &still_running);
-    int left = 0;
-    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-      if (message->msg == CURLMSG_DONE) {
-        Finish(message->easy_handle, message->data.result);
-      }
+ private:
+  std::unique_ptr<connection> TakeConnection(const endpoint& remote) {
+    auto& waiting = idle_[remote];
+    while (!waiting.empty()) {
+      std::unique_ptr<connection> taken = std::move(waiting.back());
+      waiting.pop_back();
+      if (!taken->IsBroken()) return taken;
     }
+    return std::make_unique<connection>(loop_, remote);
   }
 
-  void Finish(CURL* easy, CURLcode code) {
-    curl_multi_remove_handle(multi_, easy);
-    const auto it = running_.find(easy);
-    running_call finished = std::move(it->second);
+  void Release(uint64_t id, const endpoint& remote, bool reusable) {
+    const auto it = running_.find(id);
+    if (it == running_.end()) return;
+    std::unique_ptr<connection> carrier = std::move(it->second);
     running_.erase(it);
-    finished.on_reply(finished.work->Finish(code));
+    auto& waiting = idle_[remote];
+    if (reusable && waiting.size() < kMaxIdle) {
+      waiting.push_back(std::move(carrier));
+    }
   }
 
+  /// Idle connections that are kept for each remote end; more are closed.
+  static constexpr size_t kMaxIdle = 4;
+
   event_loop& loop_;
-  CURLM* multi_ = nullptr;
-  timer_watcher timer_;
-  std::map<curl_socket_t, std::unique_ptr<io_watcher>> watchers_;
-  std::map<CURL*, running_call> running_;
+  uint64_t last_id_ = 0;
+  std::map<uint64_t, std::unique_ptr<connection>> running_;
+  std::map<endpoint, std::vector<std::unique_ptr<connection>>> idle_;
 };
 
 http_client::http_client(event_loop& loop)
@@ -205,11 +243,18 @@
 void http_client::Start(const http_call& call, http_reply_handler on_reply) {
   impl_->Start(call, std::move(on_reply));
 }
+void http_client::CloseIdle() { impl_->CloseIdle(); }
 
 std::optional<http_reply> CallHttp(const http_call& call) {
-  EnsureCurl();
-  transfer work(call);
-  return work.Finish(curl_easy_perform(work.Easy()));
+  event_loop loop;
+  http_client client(loop);
+  std::optional<http_reply> result;
+  client.Start(call, [&](std::optional<http_reply> reply) {
+    result = std::move(reply);
+    loop.Stop();
+  });
+  loop.Run();
+  return result;
 }
 
 }  // namespace poplarstair
--- a/poplarstair/io/http_client.h
+++ b/poplarstair/io/http_client.h
@@ -1,4 +1,5 @@
-// HTTP/1.1 calls over libcurl: on the event loop, and one at a time.
+// HTTP/1.1 calls on the event loop, and one at a time. Answers are parsed by
+// http_parser; connections are kept and reused.
 #ifndef POPLARSTAIR_IO_HTTP_CLIENT_H_
 #define POPLARSTAIR_IO_HTTP_CLIENT_H_
 
@@ -29,7 +30,7 @@
   std::string body;
 };
 
-/// Nothing when there was no whole answer.
+/// Nothing when there was no whole answer within the call's timeout.
 using http_reply_handler = std::function<void(std::optional<http_reply>)>;
 
 /// Calls that don't block the loop.
@@ -38,7 +39,11 @@
   explicit http_client(event_loop& loop);
   ~http_client();
 
+  /// Throws invalid_address for a URL that is not http://ADDRESS:PORT/PATH.
   void Start(const http_call& call, http_reply_handler on_reply);
+  /// Closes connections that carry no call, e.g. because they may have gone
+  /// silent.
+  void CloseIdle();
 
  private:
   class impl;
--- a/poplarstair/io/socket.cc
+++ b/poplarstair/io/socket.cc
@@ -25,6 +25,12 @@
 constexpr int kKeepAliveIdleSeconds = 30;
 constexpr int kKeepAliveIntervalSeconds = 10;
 constexpr int kKeepAliveProbes = 3;
+// Keep-alive of own connections that wait for an answer: a silent one has to
+// be replaced before the data that it carries is too old to act on.
+constexpr int kSilenceIdleSeconds = 1;
+constexpr int kSilenceIntervalSeconds = 1;
+constexpr int kSilenceProbes = 2;
+constexpr int kSilenceLimitMs = 2'500;
 
 /// An address as the socket calls want it.
 struct raw_address {
@@ -140,6 +146,14 @@
             static_cast<int>(milliseconds.count()));
 }
 
+void DetectSilence(const unique_fd& connection) {
+  SetOption(connection, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(connection, IPPROTO_TCP, TCP_KEEPIDLE, kSilenceIdleSeconds);
+  SetOption(connection, IPPROTO_TCP, TCP_KEEPINTVL, kSilenceIntervalSeconds);
+  SetOption(connection, IPPROTO_TCP, TCP_KEEPCNT, kSilenceProbes);
+  SetOption(connection, IPPROTO_TCP, TCP_USER_TIMEOUT, kSilenceLimitMs);
+}
+
 unique_fd BindUdp(const endpoint& local) {
   unique_fd socket_fd = MakeSocket(local, SOCK_DGRAM);
   SetOption(socket_fd, SOL_SOCKET, SO_RCVBUF, kUdpBufferBytes);
--- a/poplarstair/membership/membership_message.cc
+++ b/poplarstair/membership/membership_message.cc
@@ -12,10 +12,6 @@
 
 namespace {
 
-constexpr size_t kV4Bytes = 4;
-constexpr size_t kV6Bytes = 16;
-constexpr size_t kPortBytes = 2;
-
 struct address_fields {
   std::string name;
   uint64_t failure_domain = 0;
@@ -49,45 +45,9 @@
                  digest, buckets, wanted)
 };
 
-std::string PackEndpoint(const endpoint& e) {
-  std::string packed;
-  const auto& bytes = e.address.Bytes();
-  const size_t skipped = e.address.IsV4() ? kV6Bytes - kV4Bytes : 0;
-  packed.append(bytes.begin() + skipped, bytes.end());
-  packed.push_back(static_cast<char>(e.port >> 8));
-  packed.push_back(static_cast<char>(e.port & 0xff));
-  return packed;
-}
-
-uint8_t ByteAt(const std::string& bytes, size_t i) {
-  return static_cast<uint8_t>(bytes[i]);
-}
-
-endpoint UnpackEndpoint(const std::string& packed) {
-  endpoint e;
-  if (packed.size() == kV4Bytes + kPortBytes) {
-    uint32_t value = 0;
-    for (size_t i = 0; i < kV4Bytes; ++i) {
-      value = value << 8 | ByteAt(packed, i);
-    }
-    e.address = ip_address::FromV4(value);
-  } else if (packed.size() == kV6Bytes + kPortBytes) {
-    std::array<uint8_t, kV6Bytes> bytes{};
-    std::copy_n(packed.begin(), kV6Bytes, bytes.begin());
-    e.address = ip_address(bytes);
-  } else {
-    throw malformed_message("membership", "length of an address");
-  }
-  const size_t port = packed.size() - kPortBytes;
-  e.port = static_cast<uint16_t>(ByteAt(packed, port) << 8 |
-                                 ByteAt(packed, port + 1));
-  return e;
-}
-
 address_fields PackAddress(const instance_address& address) {
   return {address.name, address.failure_domain.Value(),
-          PackEndpoint(address.peer_address),
-          PackEndpoint(address.hand_on_address)};
+          address.peer_address.Pack(), address.hand_on_address.Pack()};
 }
 
 claim_fields PackClaim(const member_claim& claim) {
@@ -130,8 +90,8 @@
   const address_fields& address = packed.address.front();
   claim.address = {claim.id, address.name,
                    failure_domain_id(address.failure_domain),
-                   UnpackEndpoint(address.peer_address),
-                   UnpackEndpoint(address.hand_on_address)};
+                   endpoint::Unpack(address.peer_address),
+                   endpoint::Unpack(address.hand_on_address)};
   return claim;
 }
 
--- a/poplarstair/platform/platform_http.cc
+++ b/poplarstair/object_store/platform_http.cc
@@ -1,4 +1,4 @@
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 #include <charconv>
 
--- a/poplarstair/platform/platform_http.h
+++ b/poplarstair/object_store/platform_http.h
@@ -1,13 +1,13 @@
 // The platform's object API over HTTP: versions as ETags, If-Match, and a
 // watch as a long poll.
-#ifndef POPLARSTAIR_PLATFORM_PLATFORM_HTTP_H_
-#define POPLARSTAIR_PLATFORM_PLATFORM_HTTP_H_
+#ifndef POPLARSTAIR_OBJECT_STORE_PLATFORM_HTTP_H_
+#define POPLARSTAIR_OBJECT_STORE_PLATFORM_HTTP_H_
 
 #include <optional>
 
 #include "poplarstair/core/endpoint.h"
 #include "poplarstair/io/http_client.h"
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 
 namespace poplarstair {
 
@@ -30,4 +30,4 @@
 
 }  // namespace poplarstair
 
-#endif  // POPLARSTAIR_PLATFORM_PLATFORM_HTTP_H_
+#endif  // POPLARSTAIR_OBJECT_STORE_PLATFORM_HTTP_H_
--- a/poplarstair/platform/platform_message.h
+++ b/poplarstair/object_store/platform_message.h
@@ -1,6 +1,6 @@
 // Calls to the platform's object API and their answers, as messages.
-#ifndef POPLARSTAIR_PLATFORM_PLATFORM_MESSAGE_H_
-#define POPLARSTAIR_PLATFORM_PLATFORM_MESSAGE_H_
+#ifndef POPLARSTAIR_OBJECT_STORE_PLATFORM_MESSAGE_H_
+#define POPLARSTAIR_OBJECT_STORE_PLATFORM_MESSAGE_H_
 
 #include <cstdint>
 #include <functional>
@@ -67,4 +67,4 @@
 
 }  // namespace poplarstair
 
-#endif  // POPLARSTAIR_PLATFORM_PLATFORM_MESSAGE_H_
+#endif  // POPLARSTAIR_OBJECT_STORE_PLATFORM_MESSAGE_H_
--- a/poplarstair/programs/poplarstaird.cc
+++ b/poplarstair/programs/poplarstaird.cc
@@ -3,11 +3,15 @@
 #include <absl/flags/flag.h>
 
 #include <cstdio>
+#include <functional>
 #include <string>
 
+#include "platform/hooks.h"
 #include "poplarstair/core/error.h"
+#include "poplarstair/core/file.h"
 #include "poplarstair/ctl/command_line.h"
 #include "poplarstair/daemon/daemon.h"
+#include "poplarstair/daemon/entry_daemon.h"
 
 ABSL_FLAG(std::string, settings, "", "the instance's settings file (TOML)");
 
@@ -36,15 +40,24 @@
     return kExitUsage;
   }
   const std::string file = absl::GetFlag(FLAGS_settings);
-  daemon_settings settings;
+  std::function<void()> run;
   try {
-    settings = ReadDaemonSettings(file);
+    const std::string text = ReadFile(file);
+    if (IsEntryFile(text, file)) {
+      run = [settings = ParseEntryFile(text, file), &file] {
+        RunEntryDaemon(settings, file, MakePlatformHooks());
+      };
+    } else {
+      run = [settings = ParseDaemonSettings(text, file), &file] {
+        RunDaemon(settings, file);
+      };
+    }
   } catch (const error& failure) {
     std::fprintf(stderr, "poplarstaird: %s\n", failure.what());
     return kExitUsage;
   }
   try {
-    RunDaemon(settings, file);
+    run();
   } catch (const std::exception& failure) {
     std::fprintf(stderr, "poplarstaird: %s\n", failure.what());
     return kExitFailure;
--- /dev/null
+++ b/poplarstair/steering/entry_instance.cc
@@ -0,0 +1,369 @@
+#include "poplarstair/steering/entry_instance.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "poplarstair/catalog/catalog_replica.h"
+#include "poplarstair/core/error.h"
+
+namespace poplarstair {
+
+namespace {
+
+constexpr std::array<collection, kCollections> kAllCollections = {
+    collection::kRoutes, collection::kServers, collection::kWithdrawals};
+
+}  // namespace
+
+class entry_instance::impl {
+ public:
+  impl(const entry_settings& settings, incarnation life, random_source random,
+       metric_registry& metrics, hooks actions)
+      : settings_(settings),
+        life_(life),
+        actions_(std::move(actions)),
+        replica_(actions_.log),
+        peers_(settings.peers, random_source(random()), actions_.log),
+        steering_(settings.steering, random_source(random()), metrics,
+                  SteeringHooks()),
+        store_calls_(metrics.Counter("store_calls", "Calls to the store")),
+        fetches_(metrics.Counter("catalog_fetches",
+                                 "Collections asked of other instances")),
+        digest_bytes_(metrics.Counter("digest_bytes",
+                                      "Bytes of digests to other instances")) {
+    for (const collection what : kAllCollections) {
+      followers_[Index(what)] = std::make_unique<store_follower>(
+          what, settings.follower, random_source(random()),
+          FollowerHooks(what));
+    }
+  }
+
+  void Start(time_point now) {
+    last_tick_ = now;
+    peers_.Start(now);
+    UpdateFollowing(now);
+    SendRound(now);
+  }
+
+  steer_decision OnSegment(time_point now, const segment& packet) {
+    return steering_.OnSegment(now, packet);
+  }
+
+  void OnStoreReply(time_point now, store_reply reply) {
+    now_ = now;
+    for (const auto& follower : followers_) {
+      if (follower->Awaits(reply.id)) {
+        follower->OnReply(now, std::move(reply));
+        break;
+      }
+    }
+    UpdateConfirmed(now);
+  }
+
+  void OnDigest(time_point now, std::string_view bytes) {
+    const peer_digest digest = DecodeDigest(bytes);
+    if (!peers_.OnDigest(now, digest)) return;
+    if (digest.failure_domain == settings_.peers.failure_domain) {
+      steering_.OnPeerReports(now, HashBytes(digest.sender.Pack()),
+                              digest.reports);
+    }
+    if (digest.is_joining && !is_stopping_) {
+      Send(digest.sender, EncodeDigest(MakeDigest(now)));
+    }
+    FetchNewer(now);
+    UpdateConfirmed(now);
+  }
+
+  void OnFetched(time_point now, const endpoint& peer, collection what,
+                 std::string_view exported) {
+    fetching_[Index(what)] = false;
+    if (exported.empty()) {
+      peers_.OnFetchFailed(now, peer);
+      return;
+    }
+    try {
+      if (replica_.Import(now, what, exported)) OnCatalogChange(now, false);
+    } catch (const malformed_message& failure) {
+      actions_.log(log_record("catalog_malformed", log_level::kWarning)
+                       .With("peer", peer.ToString())
+                       .With("collection", NameOf(what))
+                       .With("error", failure.what()));
+      peers_.OnFetchFailed(now, peer);
+    }
+    UpdateConfirmed(now);
+  }
+
+  void OnServerChecked(time_point now, backend_server_id server,
+                       bool is_reachable) {
+    steering_.OnServerChecked(now, server, is_reachable);
+  }
+
+  void OnPause(time_point now, duration length) {
+    actions_.log(log_record("pause_noticed", log_level::kWarning)
+                     .With("ms", length.count() / 1000));
+    steering_.OnPause(now, settings_.hold_after_pause);
+    confirmed_at_ = time_point{};
+    for (const auto& follower : followers_) follower->Restart(now);
+  }
+
+  void OnTick(time_point now) {
+    now_ = now;
+    NoteLateness(now);
+    peers_.OnTick(now);
+    for (const auto& follower : followers_) follower->OnTick(now);
+    UpdateConfirmed(now);
+    UpdateFollowing(now);
+    FetchNewer(now);
+    steering_.OnTick(now);
+    if (now >= next_round_ && !is_stopping_) SendRound(now);
+  }
+
+  void OnStop(time_point now) {
+    is_stopping_ = true;
+    const std::string bytes = EncodeDigest(MakeDigest(now));
+    for (const endpoint& peer : peers_.ChangeTargets()) Send(peer, bytes);
+    for (const auto& follower : followers_) follower->Stop();
+  }
+
+  void SetSeeds(std::vector<endpoint> seeds) {
+    peers_.SetSeeds(std::move(seeds));
+  }
+
+  bool IsReady(time_point now) const {
+    return replica_.IsComplete() && !is_stopping_ && !steering_.IsCutOff(now);
+  }
+
+  std::string ExportCollection(time_point now, collection what) const {
+    return replica_.Export(now, what);
+  }
+
+  std::string StateJson(time_point now) const {
+    nlohmann::json state;
+    state["ready"] = IsReady(now);
+    state["stopping"] = is_stopping_;
+    state["instances"] = peers_.Size() + 1;
+    state["routes_version"] = replica_.Current().routes.version;
+    state["routes"] = replica_.Current().routes.routes.size();
+    state["backend_servers"] = replica_.Current().servers.size();
+    state["withdrawn_domains"] = replica_.Current().withdrawn_domains;
+    state["catalog_age_ms"] = (now - confirmed_at_).count() / 1000;
+    state["follows_store"] = followers_[0]->IsFollowing();
+    state["flows"] = steering_.OpenFlows();
+    return state.dump(2) + "\n";
+  }
+
+ private:
+  static size_t Index(collection what) { return static_cast<size_t>(what); }
+
+  flow_steering::hooks SteeringHooks() {
+    flow_steering::hooks result;
+    result.log = actions_.log;
+    result.check_server = actions_.check_server;
+    result.owns_cold = [this](const known_server& server) {
+      return server.failure_domain == settings_.peers.failure_domain &&
+             peers_.Owns(now_, server.id.Value());
+    };
+    return result;
+  }
+
+  store_follower::hooks FollowerHooks(collection what) {
+    store_follower::hooks result;
+    result.log = actions_.log;
+    result.call = [this](store_request request) {
+      store_calls_.Add();
+      actions_.call_store(std::move(request));
+    };
+    result.replaced = [this, what](store_revision revision,
+                                   const std::vector<store_object>& objects) {
+      if (replica_.Replace(now_, what, revision, objects)) {
+        OnCatalogChange(now_, true);
+      }
+    };
+    result.changed = [this, what](store_revision revision,
+                                  const std::vector<store_object>& objects) {
+      if (replica_.Change(now_, what, revision, objects)) {
+        OnCatalogChange(now_, true);
+      }
+    };
+    return result;
+  }
+
+  std::array<store_revision, kCollections> Revisions() const {
+    std::array<store_revision, kCollections> revisions{};
+    for (const collection what : kAllCollections) {
+      revisions[Index(what)] = replica_.Revision(what);
+    }
+    return revisions;
+  }
+
+  /// Oldest confirmation over the collections, by the own calls alone.
+  time_point OwnConfirmedAt(time_point now) const {
+    time_point oldest = now;
+    for (const auto& follower : followers_) {
+      oldest = std::min(oldest, follower->ConfirmedAt(now));
+    }
+    return oldest;
+  }
+
+  void OnCatalogChange(time_point now, bool from_store) {
+    if (!replica_.IsComplete()) return;
+    UpdateConfirmed(now);
+    steering_.OnCatalog(now, replica_.Current());
+    if (!from_store) return;
+    // Instances that do not follow the store learn of the change here.
+    const std::string bytes = EncodeDigest(MakeDigest(now));
+    for (const endpoint& peer : peers_.ChangeTargets()) Send(peer, bytes);
+  }
+
+  void UpdateConfirmed(time_point now) {
+    if (!replica_.IsComplete()) return;
+    const time_point before = confirmed_at_;
+    const time_point told = peers_.ConfirmedAt(Revisions());
+    confirmed_at_ = std::max({before, OwnConfirmedAt(now), told});
+    if (confirmed_at_ != before) steering_.OnConfirmed(confirmed_at_);
+  }
+
+  void UpdateFollowing(time_point now) {
+    if (is_stopping_) return;
+    const bool is_following = followers_[0]->IsFollowing();
+    const bool should =
+        peers_.ShouldFollow(now, now - confirmed_at_, is_following);
+    if (should == is_following) return;
+    actions_.log(log_record(should ? "follows_store" : "leaves_store_to_peers")
+                     .With("age_ms", AgeMs(now))
+                     .With("instances", peers_.Size() + 1));
+    for (const collection what : kAllCollections) {
+      store_follower& follower = *followers_[Index(what)];
+      if (should) {
+        follower.Follow(now, replica_.Revision(what));
+      } else {
+        follower.Stop();
+      }
+    }
+  }
+
+  void FetchNewer(time_point now) {
+    for (const collection what : kAllCollections) {
+      if (fetching_[Index(what)]) continue;
+      const auto peer = peers_.NewerThan(what, replica_.Revision(what));
+      if (!peer) continue;
+      // A follower hears it from the store itself, unless the store is away.
+      const store_follower& follower = *followers_[Index(what)];
+      if (follower.IsFollowing() &&
+          now - follower.ConfirmedAt(now) < kOwnAnswerTime) {
+        continue;
+      }
+      fetching_[Index(what)] = true;
+      fetches_.Add();
+      actions_.fetch(*peer, what);
+    }
+  }
+
+  peer_digest MakeDigest(time_point now) {
+    peer_digest digest;
+    digest.sender = settings_.peers.self;
+    digest.life = life_;
+    digest.failure_domain = settings_.peers.failure_domain;
+    digest.is_stopping = is_stopping_;
+    digest.is_joining = peers_.IsJoining(now) && !is_stopping_;
+    digest.is_following = followers_[0]->IsFollowing() &&
+                          now - OwnConfirmedAt(now) < kOwnAnswerTime;
+    digest.revisions = Revisions();
+    digest.age = now - confirmed_at_;
+    digest.reports = steering_.Reports(now);
+    digest.peers = peers_.NamedPeers(now);
+    return digest;
+  }
+
+  void SendRound(time_point now) {
+    next_round_ = now + settings_.digest_interval;
+    const std::vector<endpoint> targets = peers_.RoundTargets(now);
+    if (targets.empty()) return;
+    const std::string bytes = EncodeDigest(MakeDigest(now));
+    for (const endpoint& peer : targets) Send(peer, bytes);
+  }
+
+  void Send(const endpoint& peer, const std::string& bytes) {
+    digest_bytes_.Add(bytes.size());
+    actions_.send_digest(peer, bytes);
+  }
+
+  void NoteLateness(time_point now) {
+    const duration late = now - last_tick_ - kTickInterval;
+    last_tick_ = now;
+    if (late > settings_.late_limit) steering_.OnLate(now);
+  }
+
+  int64_t AgeMs(time_point now) const {
+    return (now - confirmed_at_).count() / 1000;
+  }
+
+  /// A follower whose calls were answered this lately needs no peers.
+  static constexpr duration kOwnAnswerTime = std::chrono::milliseconds(500);
+
+  const entry_settings settings_;
+  const incarnation life_;
+  const hooks actions_;
+  catalog_replica replica_;
+  peer_view peers_;
+  flow_steering steering_;
+  std::array<std::unique_ptr<store_follower>, kCollections> followers_;
+  metric& store_calls_;
+  metric& fetches_;
+  metric& digest_bytes_;
+  std::array<bool, kCollections> fetching_{};
+  bool is_stopping_ = false;
+  /// Time of the event under way, for hooks that are called within it.
+  time_point now_{};
+  time_point last_tick_{};
+  time_point next_round_{};
+  time_point confirmed_at_{};
+};
+
+entry_instance::entry_instance(const entry_settings& settings, incarnation life,
+                               random_source random, metric_registry& metrics,
+                               hooks actions)
+    : impl_(std::make_unique<impl>(settings, life, random, metrics,
+                                   std::move(actions))) {}
+entry_instance::~entry_instance() = default;
+void entry_instance::Start(time_point now) { impl_->Start(now); }
+steer_decision entry_instance::OnSegment(time_point now,
+                                         const segment& packet) {
+  return impl_->OnSegment(now, packet);
+}
+void entry_instance::OnStoreReply(time_point now, store_reply reply) {
+  impl_->OnStoreReply(now, std::move(reply));
+}
+void entry_instance::OnDigest(time_point now, std::string_view bytes) {
+  impl_->OnDigest(now, bytes);
+}
+void entry_instance::OnFetched(time_point now, const endpoint& peer,
+                               collection what, std::string_view exported) {
+  impl_->OnFetched(now, peer, what, exported);
+}
+void entry_instance::OnServerChecked(time_point now, backend_server_id server,
+                                     bool is_reachable) {
+  impl_->OnServerChecked(now, server, is_reachable);
+}
+void entry_instance::OnPause(time_point now, duration length) {
+  impl_->OnPause(now, length);
+}
+void entry_instance::OnTick(time_point now) { impl_->OnTick(now); }
+void entry_instance::OnStop(time_point now) { impl_->OnStop(now); }
+void entry_instance::SetSeeds(std::vector<endpoint> seeds) {
+  impl_->SetSeeds(std::move(seeds));
+}
+bool entry_instance::IsReady(time_point now) const {
+  return impl_->IsReady(now);
+}
+std::string entry_instance::ExportCollection(time_point now,
+                                             collection what) const {
+  return impl_->ExportCollection(now, what);
+}
+std::string entry_instance::StateJson(time_point now) const {
+  return impl_->StateJson(now);
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/steering/entry_instance.h
@@ -0,0 +1,81 @@
+// One entry instance that steers flows by cookies: all its decisions behind
+// one boundary.
+#ifndef POPLARSTAIR_STEERING_ENTRY_INSTANCE_H_
+#define POPLARSTAIR_STEERING_ENTRY_INSTANCE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "poplarstair/catalog/store_follower.h"
+#include "poplarstair/core/counters.h"
+#include "poplarstair/steering/flow_steering.h"
+#include "poplarstair/steering/peer_view.h"
+
+namespace poplarstair {
+
+struct entry_settings {
+  steering_settings steering;
+  follower_settings follower;
+  peer_view_settings peers;
+  /// Time between digests to other instances.
+  duration digest_interval = std::chrono::milliseconds(250);
+  /// A timer that is later than this means that packets waited too.
+  duration late_limit = std::chrono::milliseconds(120);
+  /// How long new flows wait for a confirmed catalog after a pause.
+  duration hold_after_pause = std::chrono::milliseconds(800);
+};
+
+/// Deterministic: time, randomness and messages come in, messages go out
+/// through hooks; no I/O.
+class entry_instance {
+ public:
+  struct hooks {
+    log_hook log;
+    store_hook call_store;
+    std::function<void(const endpoint& peer, std::string digest)> send_digest;
+    /// Fetch a collection from another instance; answered by OnFetched.
+    std::function<void(const endpoint& peer, collection what)> fetch;
+    /// Test whether a backend server takes connections; answered by
+    /// OnServerChecked.
+    std::function<void(backend_server_id, endpoint)> check_server;
+  };
+
+  entry_instance(const entry_settings& settings, incarnation life,
+                 random_source random, metric_registry& metrics, hooks actions);
+  ~entry_instance();
+
+  // Events.
+  void Start(time_point now);
+  steer_decision OnSegment(time_point now, const segment& packet);
+  void OnStoreReply(time_point now, store_reply reply);
+  /// Throws malformed_message.
+  void OnDigest(time_point now, std::string_view bytes);
+  /// `exported` is empty if the instance did not answer.
+  void OnFetched(time_point now, const endpoint& peer, collection what,
+                 std::string_view exported);
+  void OnServerChecked(time_point now, backend_server_id server,
+                       bool is_reachable);
+  /// The process or its machine stood still for `length`.
+  void OnPause(time_point now, duration length);
+  void OnTick(time_point now);
+  /// Draining: other instances stop counting on this one.
+  void OnStop(time_point now);
+  void SetSeeds(std::vector<endpoint> seeds);
+
+  static constexpr duration kTickInterval = flow_steering::kTickInterval;
+
+  /// True if the fabric may send new flows here.
+  bool IsReady(time_point now) const;
+  std::string ExportCollection(time_point now, collection what) const;
+  /// State as a JSON object, for operators.
+  std::string StateJson(time_point now) const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_STEERING_ENTRY_INSTANCE_H_
--- /dev/null
+++ b/poplarstair/steering/flow_steering.cc
@@ -0,0 +1,574 @@
+#include "poplarstair/steering/flow_steering.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <map>
+
+#include "poplarstair/steering/peer_loads.h"
+#include "poplarstair/steering/route_index.h"
+
+namespace poplarstair {
+
+namespace {
+
+/// Most data that a caller sends before it has got an acknowledgement: what
+/// goes beyond proves that the server lives.
+constexpr uint32_t kUnacknowledgedBytes = 16 * 1200;
+/// Flows whose caller has sent its last packet are kept for stray ones.
+constexpr duration kFinishedFlowTime = std::chrono::seconds(2);
+/// Most servers that are tested in one tick.
+constexpr uint32_t kChecksPerTick = 4;
+/// Most servers that one report to other instances names.
+constexpr size_t kMaxReports = 64;
+/// Load below which a server is not worth reporting.
+constexpr double kReportedLoad = 0.05;
+/// Without any answer from any server for this long, and with several of them
+/// silent, it is this instance that is cut off.
+constexpr duration kCutOffAfter = std::chrono::milliseconds(1500);
+constexpr uint32_t kCutOffServers = 3;
+
+/// True if sequence number `a` lies after `b`.
+bool IsAfter(uint32_t a, uint32_t b) { return static_cast<int32_t>(a - b) > 0; }
+
+/// What an instance remembers of a flow whose packets pass it. Nothing is lost
+/// with it: the cookie alone still names the server.
+struct flow_record {
+  server_row row = kNoServer;
+  /// The caller has answered the handshake.
+  bool is_open = false;
+  bool has_request = false;
+  bool is_finished = false;
+  request_kind kind = request_kind::kNotIdempotent;
+  uint32_t next_sequence = 0;
+  uint32_t acknowledged = 0;
+  uint32_t request_bytes = 0;
+  /// When what the caller may have to repeat was sent first.
+  time_point sent_at{};
+  time_point request_at{};
+  time_point last_seen{};
+};
+
+std::string FlowName(const segment& packet) {
+  return packet.caller.ToString() + ">" + packet.service.ToString();
+}
+
+std::string Hex(uint64_t value) {
+  char text[20];
+  std::snprintf(text, sizeof(text), "%llx",
+                static_cast<unsigned long long>(value));
+  return text;
+}
+
+int64_t ToMs(duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+}  // namespace
+
+class flow_steering::impl {
+ public:
+  impl(const steering_settings& settings, random_source random,
+       metric_registry& metrics, hooks actions)
+      : settings_(settings),
+        random_(random),
+        metrics_(metrics),
+        actions_(std::move(actions)),
+        estimates_(settings.estimates),
+        handshake_time_(metrics.Histogram("handshake_seconds",
+                                          "From a flow's first packet to the "
+                                          "caller's answer to the handshake")),
+        request_time_(metrics.Histogram(
+            "request_seconds",
+            "From a request's first packet to the first of its answer")) {
+    for (size_t i = 0; i < decisions_.size(); ++i) {
+      const auto reason = std::string(NameOf(static_cast<steer_reason>(i)));
+      decisions_[i] = &metrics_.Counter(
+          "flow_decisions{reason=\"" + reason + "\"}", "Packets by reason");
+    }
+  }
+
+  steer_decision OnSegment(time_point now, const segment& packet) {
+    const uint64_t hash = packet.FlowHash();
+    const steer_decision decision = packet.opens_flow
+                                        ? OnOpening(now, packet, hash)
+                                        : OnOpenFlow(now, packet, hash);
+    decisions_[static_cast<size_t>(decision.reason)]->Add();
+    return decision;
+  }
+
+  void OnCatalog(time_point now, const catalog& current) {
+    if (complete_since_ == kNever) complete_since_ = now;
+    for (const server_row row : servers_.Update(now, current)) {
+      actions_.log(log_record("server_started_anew")
+                       .With("server", Hex(servers_.At(row).id.Value())));
+      estimates_.Forget(row);
+    }
+    estimates_.Resize(servers_.Size());
+    routes_.Update(current.routes);
+    idle_timeout_ = current.routes.idle_timeout;
+  }
+
+  void OnConfirmed(time_point confirmed_at) {
+    confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+  }
+
+  void OnPause(time_point now, duration limit) {
+    paused_at_ = now;
+    hold_until_ = now + limit;
+    late_until_ = now + limit;
+  }
+
+  void OnLate(time_point now) { late_until_ = now + settings_.late_grace; }
+
+  void OnPeerReports(time_point now, uint64_t peer,
+                     const std::vector<server_report>& reports) {
+    peer_loads_.Update(now, peer, reports);
+    for (const server_report& report : reports) {
+      const server_row row = servers_.FindCookie(report.server);
+      if (row == kNoServer) continue;
+      const double load = peer_loads_.Sum(
+          now, settings_.estimates.peer_load_age, report.server);
+      estimates_.SetPeerLoad(now, row, load);
+      if (report.is_silent && estimates_.OnPeerSilence(now, row)) {
+        LogSilence(now, row, "peer");
+      }
+    }
+  }
+
+  void OnServerChecked(time_point now, backend_server_id server,
+                       bool is_reachable) {
+    const server_row row = servers_.FindId(server);
+    if (row == kNoServer || !is_reachable) return;
+    estimates_.OnReachable(now, row);
+    actions_.log(
+        log_record("server_reachable").With("server", Hex(server.Value())));
+  }
+
+  void OnTick(time_point now) {
+    if (now >= next_sweep_) {
+      next_sweep_ = now + std::chrono::seconds(1);
+      Sweep(now);
+    }
+    if (now >= next_check_) {
+      next_check_ = now + settings_.check_interval;
+      CheckSilentServers();
+    }
+  }
+
+  std::vector<server_report> Reports(time_point now) const {
+    std::vector<server_report> reports;
+    for (server_row row = 0; row < servers_.Size(); ++row) {
+      const known_server& server = servers_.At(row);
+      if (server.gone_at != kNever) continue;
+      const double load = estimates_.OwnLoad(now, row);
+      const bool is_silent = estimates_.IsSilentHere(row);
+      if (load < kReportedLoad && !is_silent) continue;
+      reports.push_back({server.cookie, load, is_silent});
+      if (reports.size() == kMaxReports) break;
+    }
+    return reports;
+  }
+
+  size_t OpenFlows() const { return flows_.size(); }
+
+  bool IsCutOff(time_point now) const {
+    if (now - last_progress_ < kCutOffAfter) return false;
+    uint32_t silent = 0;
+    for (server_row row = 0; row < servers_.Size(); ++row) {
+      if (estimates_.IsSilentHere(row)) ++silent;
+    }
+    return silent >= kCutOffServers;
+  }
+
+ private:
+  bool IsFresh(time_point now) const {
+    return now - confirmed_at_ <= settings_.fresh_enough;
+  }
+
+  /// After a pause, data from before it must not decide.
+  bool IsHolding(time_point now) const {
+    return now < hold_until_ && confirmed_at_ <= paused_at_;
+  }
+
+  steer_decision OnOpening(time_point now, const segment& packet,
+                           uint64_t hash) {
+    const auto it = flows_.find(hash);
+    flow_record* record = it == flows_.end() ? nullptr : &it->second;
+    if (record != nullptr && record->is_open) {
+      return Forward(record->row, steer_reason::kOpenFlow);
+    }
+    if (complete_since_ == kNever || IsHolding(now)) {
+      return {steer_verdict::kDrop, steer_reason::kNotReady, {}, {}, 0};
+    }
+    const service_route* route = routes_.Find(packet.service);
+    const std::string* service =
+        route == nullptr ? nullptr : route_index::ServiceOf(*route, hash);
+    if (service == nullptr) {
+      return Refuse(now, packet, steer_reason::kUnknownRoute);
+    }
+    server_row avoided = kNoServer;
+    if (record != nullptr) {
+      NoteRepeat(now, *record, hash);
+      if (AnswersOthers(now, *record)) {
+        return Forward(record->row, steer_reason::kPlacedAgain);
+      }
+      avoided = record->row;
+    }
+    return Place(now, packet, hash, *route, *service, avoided);
+  }
+
+  /// True if a flow's server lives, so that a copy of its packet has to reach
+  /// the same one: two servers must not answer one flow.
+  bool AnswersOthers(time_point now, const flow_record& record) const {
+    return estimates_.LastProgress(record.row) >= record.sent_at ||
+           now < late_until_;
+  }
+
+  steer_decision Place(time_point now, const segment& packet, uint64_t hash,
+                       const service_route& route, const std::string& service,
+                       server_row avoided) {
+    const choice_context context{servers_, estimates_, settings_.failure_domain,
+                                 actions_.owns_cold};
+    server_choice choice =
+        ChooseServer(now, context, settings_.choice, service, avoided, random_);
+    if (choice.is_cold && !TakeColdFlow(now, choice.row)) {
+      choice.row = kNoServer;
+    }
+    if (choice.row == kNoServer && avoided != kNoServer &&
+        servers_.At(avoided).TakesNewFlows()) {
+      choice.row = avoided;
+    }
+    if (choice.row == kNoServer) {
+      return Refuse(now, packet, steer_reason::kNoneEligible);
+    }
+    estimates_.OnPlaced(now, choice.row);
+    flow_record& record = flows_[hash];
+    record.row = choice.row;
+    record.kind = route.kind;
+    record.sent_at = now;
+    record.last_seen = now;
+    if (record.request_at == time_point{}) record.request_at = now;
+    const steer_reason reason = choice.is_cold ? steer_reason::kPlacedCold
+                                : avoided != kNoServer
+                                    ? steer_reason::kPlacedAgain
+                                    : steer_reason::kPlaced;
+    LogPlaced(now, packet, service, choice, reason);
+    return Forward(choice.row, reason);
+  }
+
+  /// One flow at a time, at the rate that the cold server bears.
+  bool TakeColdFlow(time_point now, server_row row) {
+    time_point& next = next_cold_flow_[row];
+    if (now < next) return false;
+    next = now + duration(static_cast<int64_t>(
+                     1e6 / settings_.choice.cold_flows_per_second));
+    return true;
+  }
+
+  steer_decision OnOpenFlow(time_point now, const segment& packet,
+                            uint64_t hash) {
+    const auto [it, is_new] = flows_.try_emplace(hash);
+    flow_record& record = it->second;
+    if (!record.is_open) {
+      const server_row named = servers_.FindCookie(packet.cookie);
+      if (named == kNoServer && record.row == kNoServer) {
+        flows_.erase(it);
+        return OnUnknownCookie(now, packet);
+      }
+      OnHandshakeDone(now, packet, record, named, is_new);
+    }
+    record.last_seen = now;
+    Track(now, packet, record, hash);
+    const server_row row = record.row;
+    const steer_reason problem = ProblemOf(now, packet, record);
+    if (problem != steer_reason::kOpenFlow) {
+      LogReset(now, packet, row, problem);
+      Close(now, record);
+      flows_.erase(hash);
+      return {steer_verdict::kReset, problem, {}, {}, 0};
+    }
+    if (packet.resets) {
+      Close(now, record);
+      flows_.erase(hash);
+    }
+    return Forward(row,
+                   is_new ? steer_reason::kCookie : steer_reason::kOpenFlow);
+  }
+
+  void OnHandshakeDone(time_point now, const segment& packet,
+                       flow_record& record, server_row named, bool is_new) {
+    // The cookie tells which server's handshake the caller has answered; later
+    // cookies of this flow may stem from another server that answered a copy.
+    if (named != kNoServer) record.row = named;
+    record.is_open = true;
+    record.acknowledged = packet.acknowledged;
+    record.next_sequence = packet.sequence;
+    estimates_.OnFlowOpened(record.row);
+    if (is_new) {
+      const service_route* route = routes_.Find(packet.service);
+      if (route != nullptr) record.kind = route->kind;
+      return;
+    }
+    handshake_time_.Observe(now - record.request_at);
+    OnProgress(now, record.row);
+  }
+
+  void Track(time_point now, const segment& packet, flow_record& record,
+             uint64_t hash) {
+    if (IsAfter(packet.acknowledged, record.acknowledged)) {
+      record.acknowledged = packet.acknowledged;
+      OnProgress(now, record.row);
+      if (record.has_request) EndRequest(now, record);
+    }
+    if (packet.payload_bytes > 0) TrackData(now, packet, record, hash);
+    if (packet.finishes) {
+      record.is_finished = true;
+      DropRequest(now, record);
+    }
+  }
+
+  void TrackData(time_point now, const segment& packet, flow_record& record,
+                 uint64_t hash) {
+    const uint32_t end = packet.sequence + packet.payload_bytes;
+    if (!IsAfter(end, record.next_sequence)) {
+      return NoteRepeat(now, record, hash);
+    }
+    record.next_sequence = end;
+    record.sent_at = now;
+    if (!record.has_request) {
+      record.has_request = true;
+      record.request_at = now;
+      record.request_bytes = 0;
+      estimates_.OnRequestSent(now, record.row);
+    }
+    record.request_bytes += packet.payload_bytes;
+    if (record.request_bytes > kUnacknowledgedBytes) {
+      OnProgress(now, record.row);
+    }
+  }
+
+  void EndRequest(time_point now, flow_record& record) {
+    const duration took = now - record.request_at;
+    record.has_request = false;
+    request_time_.Observe(took);
+    estimates_.OnRequestDone(now, record.row, took);
+  }
+
+  void DropRequest(time_point now, flow_record& record) {
+    if (!record.has_request) return;
+    record.has_request = false;
+    estimates_.OnRequestDropped(now, record.row);
+  }
+
+  void Close(time_point now, flow_record& record) {
+    DropRequest(now, record);
+    if (record.is_open) estimates_.OnFlowClosed(record.row);
+  }
+
+  void OnProgress(time_point now, server_row row) {
+    last_progress_ = now;
+    if (!estimates_.OnProgress(now, row)) return;
+    actions_.log(log_record("server_answers")
+                     .With("server", Hex(servers_.At(row).id.Value())));
+  }
+
+  void NoteRepeat(time_point now, const flow_record& record, uint64_t hash) {
+    if (now < late_until_) return;
+    if (estimates_.OnRepeat(now, record.row, hash, record.sent_at)) {
+      LogSilence(now, record.row, "callers");
+    }
+  }
+
+  /// Why an open flow has no future at its server; kOpenFlow if it has one.
+  steer_reason ProblemOf(time_point now, const segment& packet,
+                         const flow_record& record) const {
+    if (packet.payload_bytes == 0 || packet.resets) {
+      return steer_reason::kOpenFlow;
+    }
+    const known_server& server = servers_.At(record.row);
+    const time_point progress = estimates_.LastProgress(record.row);
+    if (server.gone_at != kNever && progress < server.gone_at &&
+        now - server.gone_at >= settings_.gone_to_reset && IsFresh(now)) {
+      return steer_reason::kServerGone;
+    }
+    // A request that may not be repeated is lost with its flow: it stays.
+    if (record.kind != request_kind::kIdempotent) {
+      return steer_reason::kOpenFlow;
+    }
+    const bool is_certain =
+        estimates_.Witnesses(record.row) >= settings_.witnesses_to_reset ||
+        (server.gone_at != kNever && estimates_.IsSilent(record.row));
+    if (is_certain && now >= late_until_ &&
+        now - progress >= settings_.silence_to_reset) {
+      return steer_reason::kServerSilent;
+    }
+    return steer_reason::kOpenFlow;
+  }
+
+  steer_decision OnUnknownCookie(time_point now, const segment& packet) {
+    // A server that this instance has not heard of yet must not lose a flow.
+    const bool is_settled = complete_since_ != kNever &&
+                            now - complete_since_ >= settings_.gone_to_reset;
+    if (!is_settled || !IsFresh(now) || packet.resets) {
+      return {steer_verdict::kDrop, steer_reason::kUnknownCookie, {}, {}, 0};
+    }
+    LogReset(now, packet, kNoServer, steer_reason::kUnknownCookie);
+    return {steer_verdict::kReset, steer_reason::kUnknownCookie, {}, {}, 0};
+  }
+
+  /// Refuses a new flow at once if what is known is current; else its copy may
+  /// find more.
+  steer_decision Refuse(time_point now, const segment& packet,
+                        steer_reason reason) {
+    const bool is_fresh = IsFresh(now);
+    actions_.log(log_record("flow_refused")
+                     .With("flow", FlowName(packet))
+                     .With("copy", packet.copy)
+                     .With("reason", NameOf(reason))
+                     .With("routes_version", routes_.Version())
+                     .With("age_ms", ToMs(now - confirmed_at_))
+                     .With("outcome", is_fresh ? "reset" : "drop"));
+    return {is_fresh ? steer_verdict::kReset : steer_verdict::kDrop,
+            reason,
+            {},
+            {},
+            0};
+  }
+
+  steer_decision Forward(server_row row, steer_reason reason) const {
+    const known_server& server = servers_.At(row);
+    return {steer_verdict::kForward, reason, server.id, server.address,
+            server.cookie};
+  }
+
+  void Sweep(time_point now) {
+    for (auto it = flows_.begin(); it != flows_.end();) {
+      flow_record& record = it->second;
+      const duration idle = now - record.last_seen;
+      const duration limit =
+          record.is_finished ? kFinishedFlowTime : idle_timeout_;
+      if (idle <= limit) {
+        ++it;
+        continue;
+      }
+      Close(now, record);
+      flows_.erase(it++);
+    }
+  }
+
+  void CheckSilentServers() {
+    uint32_t checks = 0;
+    for (size_t i = 0; i < servers_.Size() && checks < kChecksPerTick; ++i) {
+      next_checked_ = (next_checked_ + 1) % servers_.Size();
+      const known_server& server = servers_.At(next_checked_);
+      if (!estimates_.IsSilent(next_checked_)) continue;
+      if (server.gone_at != kNever) continue;
+      ++checks;
+      actions_.check_server(server.id, server.address);
+    }
+  }
+
+  void LogPlaced(time_point now, const segment& packet,
+                 const std::string& service, const server_choice& choice,
+                 steer_reason reason) {
+    const known_server& server = servers_.At(choice.row);
+    actions_.log(
+        log_record("flow_placed")
+            .With("flow", FlowName(packet))
+            .With("copy", packet.copy)
+            .With("service", service)
+            .With("server", Hex(server.id.Value()))
+            .With("domain", server.failure_domain)
+            .With("wait_us", static_cast<int64_t>(choice.expected_wait))
+            .With("eligible", choice.eligible)
+            .With("age_ms", ToMs(now - confirmed_at_))
+            .With("outcome", NameOf(reason)));
+  }
+
+  void LogReset(time_point now, const segment& packet, server_row row,
+                steer_reason reason) {
+    log_record record("flow_reset");
+    record.With("flow", FlowName(packet)).With("reason", NameOf(reason));
+    if (row != kNoServer) {
+      record.With("server", Hex(servers_.At(row).id.Value()))
+          .With("witnesses", estimates_.Witnesses(row))
+          .With("silent_ms", ToMs(now - estimates_.LastProgress(row)));
+    }
+    actions_.log(record.With("age_ms", ToMs(now - confirmed_at_)));
+  }
+
+  void LogSilence(time_point now, server_row row, std::string_view source) {
+    const known_server& server = servers_.At(row);
+    actions_.log(
+        log_record("server_silent", log_level::kWarning)
+            .With("server", Hex(server.id.Value()))
+            .With("domain", server.failure_domain)
+            .With("source", source)
+            .With("witnesses", estimates_.Witnesses(row))
+            .With("silent_ms", ToMs(now - estimates_.LastProgress(row))));
+  }
+
+  const steering_settings settings_;
+  random_source random_;
+  metric_registry& metrics_;
+  const hooks actions_;
+  server_set servers_;
+  route_index routes_;
+  server_estimates estimates_;
+  peer_loads peer_loads_;
+  latency_histogram& handshake_time_;
+  latency_histogram& request_time_;
+  std::array<metric*, std::size(enum_names<steer_reason>::kNames)> decisions_{};
+  absl::flat_hash_map<uint64_t, flow_record> flows_;
+  std::map<server_row, time_point> next_cold_flow_;
+  duration idle_timeout_ = std::chrono::seconds(15);
+
+  time_point complete_since_ = kNever;
+  time_point confirmed_at_{};
+  time_point paused_at_{};
+  time_point hold_until_{};
+  time_point late_until_{};
+  time_point last_progress_{};
+  time_point next_sweep_{};
+  time_point next_check_{};
+  server_row next_checked_ = 0;
+};
+
+flow_steering::flow_steering(const steering_settings& settings,
+                             random_source random, metric_registry& metrics,
+                             hooks actions)
+    : impl_(std::make_unique<impl>(settings, random, metrics,
+                                   std::move(actions))) {}
+flow_steering::~flow_steering() = default;
+steer_decision flow_steering::OnSegment(time_point now, const segment& packet) {
+  return impl_->OnSegment(now, packet);
+}
+void flow_steering::OnCatalog(time_point now, const catalog& current) {
+  impl_->OnCatalog(now, current);
+}
+void flow_steering::OnConfirmed(time_point confirmed_at) {
+  impl_->OnConfirmed(confirmed_at);
+}
+void flow_steering::OnPause(time_point now, duration limit) {
+  impl_->OnPause(now, limit);
+}
+void flow_steering::OnLate(time_point now) { impl_->OnLate(now); }
+void flow_steering::OnPeerReports(time_point now, uint64_t peer,
+                                  const std::vector<server_report>& reports) {
+  impl_->OnPeerReports(now, peer, reports);
+}
+void flow_steering::OnServerChecked(time_point now, backend_server_id server,
+                                    bool is_reachable) {
+  impl_->OnServerChecked(now, server, is_reachable);
+}
+void flow_steering::OnTick(time_point now) { impl_->OnTick(now); }
+std::vector<server_report> flow_steering::Reports(time_point now) const {
+  return impl_->Reports(now);
+}
+size_t flow_steering::OpenFlows() const { return impl_->OpenFlows(); }
+bool flow_steering::IsCutOff(time_point now) const {
+  return impl_->IsCutOff(now);
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/steering/flow_steering.h
@@ -0,0 +1,133 @@
+// Decides where each packet of a caller's flow goes, without asking anybody:
+// the flow's cookie names its backend server.
+#ifndef POPLARSTAIR_STEERING_FLOW_STEERING_H_
+#define POPLARSTAIR_STEERING_FLOW_STEERING_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "poplarstair/admission/server_estimates.h"
+#include "poplarstair/catalog/catalog.h"
+#include "poplarstair/core/counters.h"
+#include "poplarstair/core/log_record.h"
+#include "poplarstair/core/random.h"
+#include "poplarstair/steering/segment.h"
+#include "poplarstair/steering/server_choice.h"
+#include "poplarstair/steering/server_report.h"
+#include "poplarstair/steering/server_set.h"
+
+namespace poplarstair {
+
+struct steering_settings {
+  std::string failure_domain;
+  estimate_settings estimates;
+  choice_settings choice;
+  /// Observations that a server answers nobody before its open flows are
+  /// reset. A live server acknowledges data at once, however slow it works.
+  uint32_t witnesses_to_reset = 3;
+  /// Silence before open flows are reset; a server that lives has been asked
+  /// twice by then, 200 ms apart.
+  duration silence_to_reset = std::chrono::milliseconds(450);
+  /// An entry that has lapsed while the store was away is back by then.
+  duration gone_to_reset = std::chrono::milliseconds(2500);
+  /// How old the catalog may be for a refusal that rests on it.
+  duration fresh_enough = std::chrono::milliseconds(1500);
+  /// Time between connections that test a silent server.
+  duration check_interval = std::chrono::milliseconds(400);
+  /// Packets that were late themselves prove nothing about a server for this
+  /// long.
+  duration late_grace = std::chrono::milliseconds(600);
+};
+
+enum class steer_verdict : uint8_t { kForward, kReset, kDrop };
+
+template <>
+struct enum_names<steer_verdict> {
+  static constexpr std::string_view kNames[] = {"forward", "reset", "drop"};
+};
+
+enum class steer_reason : uint8_t {
+  kPlaced,
+  kPlacedAgain,
+  kPlacedCold,
+  kOpenFlow,
+  kCookie,
+  kUnknownRoute,
+  kNoneEligible,
+  kUnknownCookie,
+  kServerGone,
+  kServerSilent,
+  /// The catalog is not complete, or not confirmed since a pause.
+  kNotReady,
+};
+
+template <>
+struct enum_names<steer_reason> {
+  static constexpr std::string_view kNames[] = {
+      "placed",      "placed_again",  "placed_cold", "open_flow",
+      "cookie",      "unknown_route", "no_server",   "unknown_cookie",
+      "server_gone", "server_silent", "not_ready"};
+};
+
+struct steer_decision {
+  steer_verdict verdict = steer_verdict::kDrop;
+  steer_reason reason = steer_reason::kNotReady;
+  /// For kForward.
+  backend_server_id server;
+  endpoint destination;
+  flow_cookie cookie = 0;
+};
+
+/// Deterministic: it reads no clock and does no I/O.
+class flow_steering {
+ public:
+  struct hooks {
+    log_hook log;
+    /// Test whether a silent server takes connections; answered by
+    /// OnServerChecked.
+    std::function<void(backend_server_id, endpoint)> check_server;
+    /// True if this instance alone opens flows to the cold server.
+    std::function<bool(const known_server&)> owns_cold;
+  };
+
+  flow_steering(const steering_settings& settings, random_source random,
+                metric_registry& metrics, hooks actions);
+  ~flow_steering();
+
+  // Events.
+  steer_decision OnSegment(time_point now, const segment& packet);
+  void OnCatalog(time_point now, const catalog& current);
+  /// When the store last confirmed the catalog, here or at another instance.
+  void OnConfirmed(time_point confirmed_at);
+  /// The instance was paused: nothing is placed until the catalog is confirmed
+  /// anew, for `limit` at most.
+  void OnPause(time_point now, duration limit);
+  /// The instance itself was late: packets that repeat meanwhile say nothing
+  /// about servers.
+  void OnLate(time_point now);
+  void OnPeerReports(time_point now, uint64_t peer,
+                     const std::vector<server_report>& reports);
+  void OnServerChecked(time_point now, backend_server_id server,
+                       bool is_reachable);
+  /// To be called at least every kTickInterval.
+  void OnTick(time_point now);
+
+  static constexpr duration kTickInterval = std::chrono::milliseconds(100);
+
+  /// For other instances: servers with work in progress, or silent.
+  std::vector<server_report> Reports(time_point now) const;
+  size_t OpenFlows() const;
+  /// True if servers have been silent and none has answered lately: this
+  /// instance is the one that is cut off.
+  bool IsCutOff(time_point now) const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_STEERING_FLOW_STEERING_H_
--- /dev/null
+++ b/poplarstair/steering/peer_digest.cc
@@ -0,0 +1,103 @@
+#include "poplarstair/steering/peer_digest.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "poplarstair/core/codec.h"
+
+namespace poplarstair {
+
+namespace {
+
+/// Raised with every change of the fields.
+constexpr uint8_t kDigestVersion = 1;
+/// Loads travel as hundredths.
+constexpr double kLoadScale = 100;
+constexpr int64_t kMaxAgeMs = 3'600'000;
+
+struct report_fields {
+  uint32_t server = 0;
+  uint32_t load = 0;
+  bool is_silent = false;
+  MSGPACK_DEFINE(server, load, is_silent)
+};
+
+struct named_fields {
+  std::string address;
+  uint64_t life = 0;
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE(address, life, age_ms)
+};
+
+struct digest_fields {
+  uint8_t version = kDigestVersion;
+  std::string sender;
+  uint64_t life = 0;
+  std::string failure_domain;
+  bool is_stopping = false;
+  bool is_joining = false;
+  bool is_following = false;
+  std::array<uint64_t, kCollections> revisions{};
+  int64_t age_ms = 0;
+  std::vector<report_fields> reports;
+  std::vector<named_fields> peers;
+  MSGPACK_DEFINE(version, sender, life, failure_domain, is_stopping, is_joining,
+                 is_following, revisions, age_ms, reports, peers)
+};
+
+int64_t AgeMs(duration age) {
+  return std::clamp<int64_t>(age.count() / 1000, 0, kMaxAgeMs);
+}
+
+}  // namespace
+
+std::string EncodeDigest(const peer_digest& digest) {
+  digest_fields fields;
+  fields.sender = digest.sender.Pack();
+  fields.life = digest.life;
+  fields.failure_domain = digest.failure_domain;
+  fields.is_stopping = digest.is_stopping;
+  fields.is_joining = digest.is_joining;
+  fields.is_following = digest.is_following;
+  fields.revisions = digest.revisions;
+  fields.age_ms = AgeMs(digest.age);
+  for (const server_report& r : digest.reports) {
+    const double scaled = std::clamp(r.load * kLoadScale, 0.0, 1e9);
+    fields.reports.push_back(
+        {r.server, static_cast<uint32_t>(std::lround(scaled)), r.is_silent});
+  }
+  for (const named_peer& peer : digest.peers) {
+    fields.peers.push_back({peer.address.Pack(), peer.life,
+                            static_cast<uint32_t>(AgeMs(peer.age))});
+  }
+  return EncodeMessage(fields);
+}
+
+peer_digest DecodeDigest(std::string_view bytes) {
+  const auto fields = DecodeMessage<digest_fields>(bytes);
+  if (fields.version != kDigestVersion) {
+    throw malformed_message("digest", "another version");
+  }
+  if (fields.age_ms < 0 || fields.age_ms > kMaxAgeMs) {
+    throw malformed_message("digest", "age out of range");
+  }
+  peer_digest digest;
+  digest.sender = endpoint::Unpack(fields.sender);
+  digest.life = fields.life;
+  digest.failure_domain = fields.failure_domain;
+  digest.is_stopping = fields.is_stopping;
+  digest.is_joining = fields.is_joining;
+  digest.is_following = fields.is_following;
+  digest.revisions = fields.revisions;
+  digest.age = std::chrono::milliseconds(fields.age_ms);
+  for (const report_fields& r : fields.reports) {
+    digest.reports.push_back({r.server, r.load / kLoadScale, r.is_silent});
+  }
+  for (const named_fields& peer : fields.peers) {
+    digest.peers.push_back({endpoint::Unpack(peer.address), peer.life,
+                            std::chrono::milliseconds(peer.age_ms)});
+  }
+  return digest;
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/steering/peer_digest.h
@@ -0,0 +1,52 @@
+// The datagram by which instances tell each other what they know and see.
+#ifndef POPLARSTAIR_STEERING_PEER_DIGEST_H_
+#define POPLARSTAIR_STEERING_PEER_DIGEST_H_
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "poplarstair/catalog/catalog.h"
+#include "poplarstair/core/ids.h"
+#include "poplarstair/steering/server_report.h"
+
+namespace poplarstair {
+
+/// Most other instances that one digest names.
+inline constexpr size_t kMaxNamedPeers = 12;
+
+/// Another instance that the sender knows of.
+struct named_peer {
+  endpoint address;
+  incarnation life = 0;
+  /// How long ago the sender, or who told it, has heard of it.
+  duration age = duration::zero();
+};
+
+struct peer_digest {
+  /// Where the sender hands over its catalog; also its name.
+  endpoint sender;
+  incarnation life = 0;
+  std::string failure_domain;
+  /// Draining: it will be gone within seconds.
+  bool is_stopping = false;
+  /// The sender asks for digests in return, since it knows few instances.
+  bool is_joining = false;
+  /// The sender follows the store itself, and the store answers it.
+  bool is_following = false;
+  std::array<store_revision, kCollections> revisions{};
+  /// How long ago the store confirmed the sender's catalog.
+  duration age = std::chrono::hours(1);
+  std::vector<server_report> reports;
+  /// Some instances that the sender has heard of lately.
+  std::vector<named_peer> peers;
+};
+
+std::string EncodeDigest(const peer_digest& digest);
+/// Throws malformed_message.
+peer_digest DecodeDigest(std::string_view bytes);
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_STEERING_PEER_DIGEST_H_
--- /dev/null
+++ b/poplarstair/steering/peer_view.cc
@@ -0,0 +1,237 @@
+#include "poplarstair/steering/peer_view.h"
+
+#include <algorithm>
+
+namespace poplarstair {
+
+namespace {
+
+/// How long a named instance is written to without an answer.
+constexpr duration kRumourTime = std::chrono::seconds(2);
+/// A failed hand-over sends the next request elsewhere for this long.
+constexpr duration kAvoidTime = std::chrono::milliseconds(600);
+/// Key of the choice of who asks the store.
+constexpr uint64_t kFollowerKey = 0x666f6c6c6f77;
+
+}  // namespace
+
+void peer_view::Start(time_point now) {
+  started_at_ = now;
+  for (const endpoint& seed : settings_.seeds) {
+    if (seed != settings_.self) rumours_[seed] = now;
+  }
+}
+
+void peer_view::SetSeeds(std::vector<endpoint> seeds) {
+  settings_.seeds = std::move(seeds);
+}
+
+uint64_t peer_view::HashOf(const endpoint& e) const {
+  return HashBytes(e.Pack());
+}
+
+bool peer_view::OnDigest(time_point now, const peer_digest& digest) {
+  if (digest.sender == settings_.self) return false;
+  const auto stopped = stopped_.find(digest.sender);
+  if (stopped != stopped_.end() && digest.life <= stopped->second) return false;
+  rumours_.erase(digest.sender);
+  if (digest.is_stopping) {
+    stopped_[digest.sender] = digest.life;
+    if (members_.erase(digest.sender) > 0) {
+      log_(
+          log_record("instance_leaves").With("peer", digest.sender.ToString()));
+    }
+    return true;
+  }
+  const auto [it, is_new] = members_.try_emplace(digest.sender);
+  member& known = it->second;
+  if (digest.life < known.life) return false;
+  if (is_new || digest.life != known.life) {
+    log_(log_record("instance_alive")
+             .With("peer", digest.sender.ToString())
+             .With("domain", digest.failure_domain)
+             .With("life", digest.life));
+    known = {};
+  }
+  known.life = digest.life;
+  known.failure_domain = digest.failure_domain;
+  known.revisions = digest.revisions;
+  known.is_following = digest.is_following;
+  known.last_heard = now;
+  known.confirmed_at = now - digest.age;
+  for (const named_peer& named : digest.peers) OnNamed(now, named);
+  return true;
+}
+
+void peer_view::OnNamed(time_point now, const named_peer& named) {
+  if (named.address == settings_.self) return;
+  const auto it = members_.find(named.address);
+  if (it != members_.end()) {
+    if (named.life != it->second.life) return;
+    it->second.last_heard = std::max(it->second.last_heard, now - named.age);
+    return;
+  }
+  const auto stopped = stopped_.find(named.address);
+  if (stopped != stopped_.end() && named.life <= stopped->second) return;
+  // What was heard of long ago is likely gone.
+  if (named.age < kRumourTime) rumours_.try_emplace(named.address, now);
+}
+
+void peer_view::OnTick(time_point now) {
+  for (auto it = members_.begin(); it != members_.end();) {
+    const duration silent = now - it->second.last_heard;
+    const bool is_own = it->second.failure_domain == settings_.failure_domain;
+    if (silent <=
+        (is_own ? settings_.silence_limit : settings_.far_silence_limit)) {
+      ++it;
+      continue;
+    }
+    log_(log_record("instance_silent", log_level::kWarning)
+             .With("peer", it->first.ToString())
+             .With("domain", it->second.failure_domain)
+             .With("members", members_.size() - 1));
+    it = members_.erase(it);
+  }
+  std::erase_if(rumours_, [now](const auto& rumour) {
+    return now - rumour.second > kRumourTime;
+  });
+  if (rumours_.empty() && members_.empty()) {
+    for (const endpoint& seed : settings_.seeds) {
+      if (seed != settings_.self) rumours_[seed] = now;
+    }
+  }
+}
+
+std::vector<endpoint> peer_view::Draw(bool own_domain, size_t count) {
+  std::vector<endpoint> candidates;
+  for (const auto& [address, known] : members_) {
+    const bool is_own = known.failure_domain == settings_.failure_domain;
+    if (is_own == own_domain) candidates.push_back(address);
+  }
+  const size_t wanted = std::min(count, candidates.size());
+  for (size_t i = 0; i < wanted; ++i) {
+    std::swap(candidates[i],
+              candidates[i + RandomBelow(random_, candidates.size() - i)]);
+  }
+  candidates.resize(wanted);
+  return candidates;
+}
+
+std::vector<endpoint> peer_view::RoundTargets(time_point now) {
+  std::vector<endpoint> targets = Draw(true, settings_.fan_out);
+  ++round_;
+  if (round_ % settings_.rounds_between_domains == 0 || IsJoining(now)) {
+    const std::vector<endpoint> far = Draw(false, 1);
+    targets.insert(targets.end(), far.begin(), far.end());
+  }
+  // Bounded, as a large fleet names more than one round can reach.
+  size_t written = 0;
+  for (const auto& [address, since] : rumours_) {
+    if (++written > kMaxNamedPeers) break;
+    targets.push_back(address);
+  }
+  return targets;
+}
+
+std::vector<endpoint> peer_view::ChangeTargets() {
+  std::vector<endpoint> targets = Draw(true, settings_.change_fan_out);
+  const std::vector<endpoint> far = Draw(false, 1);
+  targets.insert(targets.end(), far.begin(), far.end());
+  return targets;
+}
+
+std::vector<named_peer> peer_view::NamedPeers(time_point now) {
+  std::vector<endpoint> drawn = Draw(true, kMaxNamedPeers * 2 / 3);
+  const std::vector<endpoint> far = Draw(false, kMaxNamedPeers - drawn.size());
+  drawn.insert(drawn.end(), far.begin(), far.end());
+  std::vector<named_peer> named;
+  for (const endpoint& address : drawn) {
+    const member& known = members_.at(address);
+    named.push_back({address, known.life, now - known.last_heard});
+  }
+  return named;
+}
+
+bool peer_view::IsJoining(time_point now) const {
+  return now - started_at_ < settings_.learning_time;
+}
+
+time_point peer_view::ConfirmedAt(
+    const std::array<store_revision, kCollections>& revisions) const {
+  time_point latest{};
+  for (const auto& [address, known] : members_) {
+    const bool is_covered =
+        std::equal(revisions.begin(), revisions.end(), known.revisions.begin(),
+                   [](store_revision own, store_revision theirs) {
+                     return own >= theirs;
+                   });
+    if (is_covered) latest = std::max(latest, known.confirmed_at);
+  }
+  return latest;
+}
+
+std::optional<endpoint> peer_view::NewerThan(collection what,
+                                             store_revision revision) {
+  std::optional<endpoint> best;
+  std::pair<bool, time_point> best_merit{};
+  for (const auto& [address, known] : members_) {
+    if (known.revisions[static_cast<size_t>(what)] <= revision) continue;
+    if (known.avoid_until > known.last_heard) continue;
+    const std::pair merit(known.failure_domain == settings_.failure_domain,
+                          known.last_heard);
+    if (best && merit <= best_merit) continue;
+    best = address;
+    best_merit = merit;
+  }
+  return best;
+}
+
+void peer_view::OnFetchFailed(time_point now, const endpoint& peer) {
+  const auto it = members_.find(peer);
+  if (it != members_.end()) it->second.avoid_until = now + kAvoidTime;
+}
+
+uint32_t peer_view::Rank(uint64_t key) const {
+  const uint64_t own = HashCombine(HashOf(settings_.self), key);
+  uint32_t rank = 0;
+  for (const auto& [address, known] : members_) {
+    if (known.failure_domain != settings_.failure_domain) continue;
+    if (HashCombine(HashOf(address), key) < own) ++rank;
+  }
+  return rank;
+}
+
+bool peer_view::ShouldFollow(time_point now, duration catalog_age,
+                             bool is_following) {
+  const uint32_t rank = std::min(Rank(kFollowerKey), settings_.highest_rank);
+  if (rank == 0 && !IsJoining(now)) {
+    better_since_ = kNever;
+    return true;
+  }
+  if (!is_following) {
+    better_since_ = kNever;
+    return catalog_age > settings_.take_over_age + rank * settings_.rank_delay;
+  }
+  // Follows in another's place: until that one's answers arrive steadily.
+  const uint64_t own = HashCombine(HashOf(settings_.self), kFollowerKey);
+  const bool better =
+      std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+        const auto& [address, known] = entry;
+        return known.is_following &&
+               known.failure_domain == settings_.failure_domain &&
+               HashCombine(HashOf(address), kFollowerKey) < own &&
+               now - known.confirmed_at < settings_.take_over_age;
+      });
+  if (!better) {
+    better_since_ = kNever;
+    return true;
+  }
+  if (better_since_ == kNever) better_since_ = now;
+  return now - better_since_ < settings_.hand_back_after;
+}
+
+bool peer_view::Owns(time_point now, uint64_t key) const {
+  return !IsJoining(now) && Rank(key) == 0;
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/steering/peer_view.h
@@ -0,0 +1,119 @@
+// The other instances as one instance hears of them, and what follows from it:
+// who asks the store, who hands on its answers, who warms up a cold server.
+#ifndef POPLARSTAIR_STEERING_PEER_VIEW_H_
+#define POPLARSTAIR_STEERING_PEER_VIEW_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "poplarstair/core/log_record.h"
+#include "poplarstair/core/random.h"
+#include "poplarstair/steering/peer_digest.h"
+
+namespace poplarstair {
+
+struct peer_view_settings {
+  endpoint self;
+  std::string failure_domain;
+  /// Instances to ask first.
+  std::vector<endpoint> seeds;
+  /// An instance of the own domain that has not been heard of, nor named by
+  /// others, for this long is taken as gone; ten rounds of digests.
+  duration silence_limit = std::chrono::milliseconds(2500);
+  /// The same for other domains, which few digests reach.
+  duration far_silence_limit = std::chrono::seconds(15);
+  /// Age of the catalog at which an instance of rank 0 asks the store itself;
+  /// later ranks wait `rank_delay` longer each, so that mostly one does. With
+  /// the call it has to stay well under the seconds in which changes must be
+  /// in force.
+  duration take_over_age = std::chrono::milliseconds(900);
+  duration rank_delay = std::chrono::milliseconds(300);
+  uint32_t highest_rank = 4;
+  /// An instance whose domain has a better one asks no more after this long.
+  duration hand_back_after = std::chrono::milliseconds(1500);
+  /// Instances of the own domain that a digest goes to in each round.
+  uint32_t fan_out = 3;
+  /// Every how many rounds one goes to another domain.
+  uint32_t rounds_between_domains = 4;
+  /// Instances that are told of a change at once; with more, the rounds carry
+  /// it further.
+  uint32_t change_fan_out = 32;
+  /// After a start the own view is too small to own anything for this long.
+  duration learning_time = std::chrono::milliseconds(1500);
+};
+
+/// Deterministic: it reads no clock and does no I/O.
+class peer_view {
+ public:
+  peer_view(const peer_view_settings& settings, random_source random,
+            log_hook log)
+      : settings_(settings), random_(random), log_(std::move(log)) {}
+
+  void Start(time_point now);
+  /// False if the digest is older than one that has arrived before.
+  bool OnDigest(time_point now, const peer_digest& digest);
+  /// Forgets what has been silent for too long.
+  void OnTick(time_point now);
+  void SetSeeds(std::vector<endpoint> seeds);
+
+  /// Whom to send the digest of this round to.
+  std::vector<endpoint> RoundTargets(time_point now);
+  /// Whom to tell of a change at once.
+  std::vector<endpoint> ChangeTargets();
+  /// A few instances to name in a digest.
+  std::vector<named_peer> NamedPeers(time_point now);
+  bool IsJoining(time_point now) const;
+
+  /// When the store last confirmed a catalog at least as new as `revisions`,
+  /// as far as peers have told.
+  time_point ConfirmedAt(
+      const std::array<store_revision, kCollections>& revisions) const;
+  /// An instance that holds a newer state of the collection.
+  std::optional<endpoint> NewerThan(collection what, store_revision revision);
+  /// A fetch from the instance has failed: others are asked first.
+  void OnFetchFailed(time_point now, const endpoint& peer);
+
+  /// True if this instance should follow the store, given how old its catalog
+  /// is and whether it follows now.
+  bool ShouldFollow(time_point now, duration catalog_age, bool is_following);
+  /// True if this instance, of all in its domain, is chosen for `key`.
+  bool Owns(time_point now, uint64_t key) const;
+
+  size_t Size() const { return members_.size(); }
+
+ private:
+  struct member {
+    incarnation life = 0;
+    std::string failure_domain;
+    std::array<store_revision, kCollections> revisions{};
+    bool is_following = false;
+    time_point last_heard{};
+    /// When the store confirmed its catalog, on the own clock.
+    time_point confirmed_at{};
+    time_point avoid_until{};
+  };
+
+  void OnNamed(time_point now, const named_peer& named);
+  uint64_t HashOf(const endpoint& e) const;
+  /// Members of the own domain that come before this one for `key`.
+  uint32_t Rank(uint64_t key) const;
+  std::vector<endpoint> Draw(bool own_domain, size_t count);
+
+  peer_view_settings settings_;
+  random_source random_;
+  log_hook log_;
+  std::map<endpoint, member> members_;
+  /// Named by others, not heard of yet.
+  std::map<endpoint, time_point> rumours_;
+  /// Lives that have said that they stop.
+  std::map<endpoint, incarnation> stopped_;
+  time_point started_at_{};
+  time_point better_since_ = kNever;
+  uint32_t round_ = 0;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_STEERING_PEER_VIEW_H_
--- /dev/null
+++ b/poplarstair/steering/server_choice.cc
@@ -0,0 +1,65 @@
+#include "poplarstair/steering/server_choice.h"
+
+#include <vector>
+
+namespace poplarstair {
+
+namespace {
+
+/// The candidates of one failure domain, or of all others.
+class candidate_group {
+ public:
+  void Add(server_row row) { rows_.push_back(row); }
+  size_t Size() const { return rows_.size(); }
+
+  /// Compares up to `compared` candidates, drawn without replacement.
+  void Compare(time_point now, const choice_context& context, double factor,
+               uint32_t compared, random_source& random, server_choice& best) {
+    for (size_t i = 0; i < rows_.size() && i < compared; ++i) {
+      const size_t drawn = i + RandomBelow(random, rows_.size() - i);
+      std::swap(rows_[i], rows_[drawn]);
+      const uint32_t slots = context.servers.At(rows_[i]).slots;
+      const double wait =
+          factor * context.estimates.ExpectedWait(now, rows_[i], slots);
+      if (best.row != kNoServer && wait >= best.expected_wait) continue;
+      best.row = rows_[i];
+      best.expected_wait = wait;
+    }
+  }
+
+ private:
+  std::vector<server_row> rows_;
+};
+
+}  // namespace
+
+server_choice ChooseServer(time_point now, const choice_context& context,
+                           const choice_settings& settings,
+                           const std::string& service, server_row avoided,
+                           random_source& random) {
+  candidate_group own;
+  candidate_group others;
+  candidate_group cold;
+  for (const server_row row : context.servers.OfService(service)) {
+    const known_server& server = context.servers.At(row);
+    if (row == avoided || !server.TakesNewFlows()) continue;
+    if (!context.estimates.TakesFlow(now, row)) continue;
+    if (server.cold_until > now) {
+      if (context.owns_cold(server)) cold.Add(row);
+      continue;
+    }
+    (server.failure_domain == context.domain ? own : others).Add(row);
+  }
+  server_choice best;
+  best.eligible = static_cast<uint32_t>(own.Size() + others.Size());
+  own.Compare(now, context, 1, settings.compared, random, best);
+  others.Compare(now, context, settings.other_domain_factor, settings.compared,
+                 random, best);
+  if (best.row == kNoServer) {
+    cold.Compare(now, context, 1, settings.compared, random, best);
+    best.is_cold = best.row != kNoServer;
+  }
+  return best;
+}
+
+}  // namespace poplarstair
--- /dev/null
+++ b/poplarstair/steering/server_report.h
@@ -0,0 +1,19 @@
+// What an instance tells others of one backend server.
+#ifndef POPLARSTAIR_STEERING_SERVER_REPORT_H_
+#define POPLARSTAIR_STEERING_SERVER_REPORT_H_
+
+#include "poplarstair/steering/segment.h"
+
+namespace poplarstair {
+
+struct server_report {
+  flow_cookie server = 0;
+  /// Smoothed work in progress.
+  double load = 0;
+  /// The instance's own callers have waited for it in vain.
+  bool is_silent = false;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_STEERING_SERVER_REPORT_H_
--- a/poplarstair/testing/platform_fake.h
+++ b/poplarstair/testing/platform_fake.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 #include "poplarstair/testing/event_queue.h"
 
 namespace poplarstair {
--- a/poplarstair/testing/virtual_platform.h
+++ b/poplarstair/testing/virtual_platform.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "poplarstair/core/ids.h"
-#include "poplarstair/platform/platform_message.h"
+#include "poplarstair/object_store/platform_message.h"
 #include "poplarstair/testing/event_queue.h"
 
 namespace poplarstair {
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,9 +4,9 @@
 
 packages=(
   g++ cmake ninja-build make pkg-config clang clang-format clang-tidy
-  libclang-rt-14-dev libev-dev libmsgpack-cxx-dev libabsl-dev liblog4cplus-dev
+  libclang-rt-14-dev libev-dev libmsgpack-cxx-dev libabsl-dev
   libcriterion-dev libtomlplusplus-dev nlohmann-json3-dev libnghttp2-dev
-  libcurl4-openssl-dev libhttp-parser-dev libxxhash-dev libpcg-cpp-dev
+  libhttp-parser-dev libxxhash-dev libpcg-cpp-dev
   librapidcheck-dev curl
 )
 
--- a/unit_tests/io/http_test.cc
+++ b/unit_tests/io/http_test.cc
@@ -8,7 +8,7 @@
 #include "poplarstair/io/http_server.h"
 #include "poplarstair/io/socket.h"
 #include "poplarstair/io/stream.h"
-#include "poplarstair/platform/platform_http.h"
+#include "poplarstair/object_store/platform_http.h"
 
 using namespace poplarstair;
 
