Serve callers sooner around silent servers, a lost store and cut domains

Open flows are now reset only if callers wait in vain and the server takes no connections, or is also gone from the catalog.

--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -56,6 +56,7 @@
   const bool was_silent = e.is_silent || e.is_on_trial;
   e.last_progress = now;
   e.is_on_trial = false;
+  e.failed_trials = 0;
   ClearSilence(e);
   return was_silent;
 }
@@ -63,35 +64,70 @@
 void server_estimates::ClearSilence(estimate& e) {
   e.waiting = 0;
   e.repeats = 0;
-  e.silent_peers = 0;
+  e.peer_witnesses = 0;
   e.is_silent = false;
+  e.is_unreachable = false;
 }
 
 bool server_estimates::OnRepeat(time_point now, uint32_t row, uint64_t flow,
                                 time_point sent_at) {
+  if (now - sent_at < settings_.repeat_after) return false;
   estimate& e = rows_[row];
   // It has answered somebody since: this flow has a trouble of its own.
   if (e.last_progress >= sent_at) return false;
-  if (now - sent_at < settings_.repeat_after) return false;
+  if (!e.is_silent && now - e.witness_at > settings_.witness_age) {
+    ClearSilence(e);
+  }
   e.repeats = static_cast<uint8_t>(std::min(e.repeats + 1, 255));
+  e.witness_at = now;
+  return AddWitness(now, e, flow);
+}
+
+bool server_estimates::OnOverdue(time_point now, uint32_t row, uint64_t flow,
+                                 time_point sent_at) {
+  estimate& e = rows_[row];
+  return e.last_progress < sent_at && AddWitness(now, e, flow);
+}
+
+bool server_estimates::AddWitness(time_point now, estimate& e, uint64_t flow) {
+  if (!e.is_silent && now - e.witness_at > settings_.witness_age) {
+    ClearSilence(e);
+  }
+  e.witness_at = now;
   const auto end = e.waiting_flows.begin() + e.waiting;
   const bool is_new = std::find(e.waiting_flows.begin(), end, flow) == end;
   if (is_new && e.waiting < kMaxWitnesses) e.waiting_flows[e.waiting++] = flow;
-  const bool silent = e.waiting >= settings_.silent_flows ||
-                      e.repeats >= settings_.silent_flows;
-  if (!silent || e.is_silent) return false;
-  e.is_silent = true;
-  return true;
+  // One flow that has repeated twice weighs as much as two.
+  const bool is_silent =
+      e.waiting + e.peer_witnesses >= settings_.silent_flows ||
+      e.repeats >= settings_.silent_flows;
+  return is_silent && BecomeSilent(now, e);
 }
 
-bool server_estimates::OnPeerSilence(time_point now, uint32_t row) {
+bool server_estimates::OnPeerWitnesses(time_point now, uint32_t row,
+                                       uint32_t witnesses) {
   estimate& e = rows_[row];
   // Own evidence that it lives goes before hearsay.
   constexpr duration kOwnEvidence = std::chrono::milliseconds(300);
   if (e.last_progress >= now - kOwnEvidence) return false;
-  e.silent_peers = static_cast<uint8_t>(std::min(e.silent_peers + 1, 255));
-  if (e.is_silent || e.is_on_trial) return false;
+  if (now - e.witness_at > settings_.witness_age && !e.is_silent) e.waiting = 0;
+  e.peer_witnesses = static_cast<uint8_t>(std::min(witnesses, 255U));
+  if (e.is_on_trial) return false;
+  const bool is_silent = e.waiting + e.peer_witnesses >= settings_.silent_flows;
+  return is_silent && BecomeSilent(now, e);
+}
+
+bool server_estimates::BecomeSilent(time_point now, estimate& e) {
+  if (e.is_silent) return false;
+  // The first test is due at once: it tells a lost packet from a lost server.
+  e.next_test = now;
+  if (e.is_on_trial) {
+    e.failed_trials = static_cast<uint8_t>(std::min(e.failed_trials + 1, 8));
+    e.next_test += std::min(settings_.first_test * (1 << e.failed_trials),
+                            settings_.longest_test);
+  }
   e.is_silent = true;
+  e.is_on_trial = false;
   return true;
 }
 
@@ -111,9 +147,14 @@
   rows_[row].next_trial = now + settings_.trial_interval;
 }
 
+void server_estimates::OnUnreachable(uint32_t row) {
+  estimate& e = rows_[row];
+  if (e.is_silent) e.is_unreachable = true;
+}
+
 uint32_t server_estimates::Witnesses(uint32_t row) const {
   const estimate& e = rows_[row];
-  return e.is_silent ? uint32_t{e.waiting} + e.silent_peers : 0;
+  return e.is_silent ? uint32_t{e.waiting} + e.peer_witnesses : 0;
 }
 
 double server_estimates::OwnLoad(time_point now, uint32_t row) const {
--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -22,6 +22,9 @@
   duration forget_after = std::chrono::seconds(4);
   /// Request time of a server that has not answered yet.
   duration first_time = std::chrono::milliseconds(30);
+  /// Observations that are further apart than this do not add up: each may
+  /// have been a lost packet.
+  duration witness_age = std::chrono::milliseconds(1500);
   /// Callers repeat a packet after 200 ms; the same bytes sooner were
   /// reordered on the way.
   duration repeat_after = std::chrono::milliseconds(150);
@@ -30,6 +33,10 @@
   /// Time between flows to a server on trial; the first copy of a packet that
   /// opens a flow comes after 200 ms.
   duration trial_interval = std::chrono::milliseconds(250);
+  /// Time until a silent server is tested; doubles with each trial that fails,
+  /// up to the longest: another server may answer at its address.
+  duration first_test = std::chrono::milliseconds(400);
+  duration longest_test = std::chrono::seconds(6);
   /// What peers say of a server's load counts this long.
   duration peer_load_age = std::chrono::milliseconds(1500);
 };
@@ -58,14 +65,21 @@
   /// time. True if the server counts as silent from now on.
   bool OnRepeat(time_point now, uint32_t row, uint64_t flow,
                 time_point sent_at);
-  /// Another instance counts the server as silent. True as for OnRepeat.
-  bool OnPeerSilence(time_point now, uint32_t row);
+  /// Flows have waited in vain at other instances, so many in all. True as for
+  /// OnRepeat.
+  bool OnPeerWitnesses(time_point now, uint32_t row, uint32_t witnesses);
+  /// A flow's handshake is overdue, though its caller has repeated nothing
+  /// yet. True as for OnRepeat.
+  bool OnOverdue(time_point now, uint32_t row, uint64_t flow,
+                 time_point sent_at);
   /// Another instance sees this much work in progress; the sum over peers is
   /// kept by the caller.
   void SetPeerLoad(time_point now, uint32_t row, double load);
   /// A server that counted as silent takes connections again: one flow at a
   /// time until one makes progress.
   void OnReachable(time_point now, uint32_t row);
+  /// A silent server does not take connections either.
+  void OnUnreachable(uint32_t row);
 
   /// A new flow was sent to the server.
   void OnPlaced(time_point now, uint32_t row);
@@ -76,10 +90,21 @@
     const estimate& e = rows_[row];
     return !e.is_silent && (!e.is_on_trial || now >= e.next_trial);
   }
-  /// Silent by what this instance's own callers show.
-  bool IsSilentHere(uint32_t row) const {
-    return rows_[row].is_silent && rows_[row].repeats > 0;
+  /// True if it is time to test a silent server.
+  bool NeedsTest(time_point now, uint32_t row) const {
+    return rows_[row].is_silent && now >= rows_[row].next_test;
   }
+  /// A test is under way; the next one is due after a pause.
+  void OnTested(time_point now, uint32_t row) {
+    rows_[row].next_test = now + settings_.first_test;
+  }
+  /// Flows of this instance that have waited in vain of late.
+  uint32_t OwnWitnesses(time_point now, uint32_t row) const {
+    const estimate& e = rows_[row];
+    return now - e.witness_at <= settings_.witness_age ? e.waiting : 0;
+  }
+  /// Silent to callers, and takes no connections.
+  bool IsUnreachable(uint32_t row) const { return rows_[row].is_unreachable; }
   /// Independent observations that it answers nobody: flows seen here and
   /// other instances.
   uint32_t Witnesses(uint32_t row) const;
@@ -109,16 +134,22 @@
     /// Flows that wait in vain since the last progress.
     std::array<uint64_t, kMaxWitnesses> waiting_flows{};
     uint8_t waiting = 0;
+    time_point witness_at{};
     uint8_t repeats = 0;
-    uint8_t silent_peers = 0;
+    uint8_t peer_witnesses = 0;
+    uint8_t failed_trials = 0;
     bool is_silent = false;
     bool is_on_trial = false;
+    bool is_unreachable = false;
     time_point next_trial{};
+    time_point next_test{};
   };
 
   void Smooth(time_point now, estimate& e);
   double RequestTime(time_point now, const estimate& e) const;
   static void ClearSilence(estimate& e);
+  bool AddWitness(time_point now, estimate& e, uint64_t flow);
+  bool BecomeSilent(time_point now, estimate& e);
 
   const estimate_settings settings_;
   std::vector<estimate> rows_;
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -25,11 +25,11 @@
         actions_(std::move(actions)),
         last_call_(kCallsPerCollection * (1 + static_cast<uint64_t>(what))) {}
 
-  void Follow(time_point now, store_revision known) {
+  void Follow(store_revision known) {
     if (phase_ != follow_phase::kStopped) return;
     revision_ = known;
     pause_ = settings_.first_pause;
-    CallAgain(now);
+    CallAgain();
   }
 
   void Stop() {
@@ -37,11 +37,11 @@
     awaited_ = 0;
   }
 
-  void Restart(time_point now) {
+  void Restart() {
     if (phase_ == follow_phase::kStopped) return;
     revision_ = 0;
     confirmed_at_ = time_point{};
-    CallAgain(now);
+    CallAgain();
   }
 
   void OnReply(time_point now, store_reply reply) {
@@ -63,7 +63,7 @@
   }
 
   void OnTick(time_point now) {
-    if (phase_ == follow_phase::kPausing && now >= resume_at_) CallAgain(now);
+    if (phase_ == follow_phase::kPausing && now >= resume_at_) CallAgain();
   }
 
   bool IsFollowing() const { return phase_ != follow_phase::kStopped; }
@@ -76,12 +76,12 @@
   }
 
  private:
-  void CallAgain(time_point now) {
+  void CallAgain() {
     if (revision_ == 0) {
       listed_.clear();
       List("");
     } else {
-      Watch(now);
+      Watch();
     }
   }
 
@@ -94,13 +94,13 @@
     Send(std::move(request));
   }
 
-  void Watch(time_point /*now*/) {
+  void Watch() {
     phase_ = follow_phase::kWatching;
     store_request request;
     request.operation = store_operation::kWatch;
     request.revision = revision_;
-    request.wait = settings_.watch_wait;
-    request.timeout = settings_.watch_wait + settings_.call_timeout;
+    request.wait = is_lost_ ? settings_.lost_wait : settings_.watch_wait;
+    request.timeout = request.wait + settings_.call_timeout;
     Send(std::move(request));
   }
 
@@ -121,7 +121,7 @@
     revision_ = first_page_revision_;
     confirmed_at_ = now;
     actions_.replaced(revision_, std::exchange(listed_, {}));
-    Watch(now);
+    Watch();
   }
 
   void OnEvents(time_point now, store_reply reply) {
@@ -130,7 +130,7 @@
     if (!reply.objects.empty()) {
       actions_.changed(revision_, std::move(reply.objects));
     }
-    Watch(now);
+    Watch();
   }
 
   void OnFailure(time_point now, store_status status) {
@@ -139,7 +139,7 @@
                        .With("collection", NameOf(what_))
                        .With("revision", revision_));
       revision_ = 0;
-      return CallAgain(now);
+      return CallAgain();
     }
     if (!is_lost_) {
       actions_.log(log_record("store_lost", log_level::kWarning)
@@ -178,11 +178,9 @@
     : impl_(
           std::make_unique<impl>(what, settings, random, std::move(actions))) {}
 store_follower::~store_follower() = default;
-void store_follower::Follow(time_point now, store_revision known) {
-  impl_->Follow(now, known);
-}
+void store_follower::Follow(store_revision known) { impl_->Follow(known); }
 void store_follower::Stop() { impl_->Stop(); }
-void store_follower::Restart(time_point now) { impl_->Restart(now); }
+void store_follower::Restart() { impl_->Restart(); }
 void store_follower::OnReply(time_point now, store_reply reply) {
   impl_->OnReply(now, std::move(reply));
 }
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -15,6 +15,9 @@
   /// How long the store may hold a watch. Bounds how long an instance takes
   /// its data for current while the store answers it nothing.
   duration watch_wait = std::chrono::seconds(5);
+  /// The same while the store does not answer: the first answer matters more
+  /// than a call saved.
+  duration lost_wait = std::chrono::milliseconds(50);
   /// Longest wait for an answer beyond `watch_wait`.
   duration call_timeout = std::chrono::milliseconds(1200);
   /// Pause after a failed call; doubles up to `longest_pause`. Every call has
@@ -41,11 +44,11 @@
 
   /// Follows from now on. `known` is the revision of what a peer has handed
   /// over, or 0 to list everything.
-  void Follow(time_point now, store_revision known);
+  void Follow(store_revision known);
   /// Makes no more calls; an answer under way is ignored.
   void Stop();
   /// Drops the call under way and lists anew, e.g. after a pause.
-  void Restart(time_point now);
+  void Restart();
 
   void OnReply(time_point now, store_reply reply);
   void OnTick(time_point now);
--- a/poplarstair/daemon/steering_task.cc
+++ b/poplarstair/daemon/steering_task.cc
@@ -1,5 +1,6 @@
 #include "poplarstair/daemon/steering_task.h"
 
+#include <array>
 #include <ctime>
 #include <random>
 
@@ -27,6 +28,8 @@
 constexpr duration kPauseLimit = std::chrono::milliseconds(1000);
 /// Reading the two clocks one after the other differs by far less.
 constexpr duration kSuspensionLimit = std::chrono::milliseconds(200);
+/// Handshakes that are due sooner are checked together.
+constexpr duration kLeastTimer = std::chrono::milliseconds(5);
 /// Batches that one turn of the loop handles, so that timers are not starved.
 constexpr int kBatchesPerTurn = 4;
 
@@ -66,7 +69,8 @@
         watcher_(loop, socket_.Get(),
                  [this](io_watcher::readiness) { OnReadable(); }),
         caller_port_(settings.packets.port),
-        ticker_(loop, [this] { OnTick(); }) {
+        ticker_(loop, [this] { OnTick(); }),
+        handshake_timer_(loop, [this] { OnHandshakeTimer(); }) {
     board_.steering.Bind(
         loop, [this](steering_message message) { OnMessage(message); });
     watcher_.WaitFor({true, false});
@@ -94,6 +98,10 @@
     hooks.fetch = [this](const endpoint& peer, collection what) {
       board_.fetches.Post({peer, what});
     };
+    hooks.send_again = [this](std::span<const uint8_t> packet,
+                              const steer_decision& decision) {
+      AddForward(packet, decision);
+    };
     hooks.check_server = [this](backend_server_id server, endpoint address) {
       board_.checks.Post({server, address});
     };
@@ -107,25 +115,50 @@
       const time_point now = loop_.Now();
       for (const datagram& d : received) OnPacket(now, d.bytes);
       SendOut();
+      ArmHandshakeTimer(now);
     }
   }
 
+  void ArmHandshakeTimer(time_point now) {
+    if (is_armed_) return;
+    const time_point due = instance_.NextHandshakeCheck();
+    if (due == kNever) return;
+    is_armed_ = true;
+    handshake_timer_.StartOnce(std::max(due - now, kLeastTimer));
+  }
+
+  void OnHandshakeTimer() {
+    is_armed_ = false;
+    const time_point now = loop_.Now();
+    instance_.OnHandshakeTimer(now);
+    SendOut();
+    ArmHandshakeTimer(now);
+  }
+
   void OnPacket(time_point now, std::span<const uint8_t> bytes) {
     const std::optional<segment> packet = platform_.parse_packet(bytes);
     if (!packet) return malformed_.Add();
-    const steer_decision decision = instance_.OnSegment(now, *packet);
-    if (decision.verdict == steer_verdict::kDrop) return;
-    out_buffers_.resize(std::max(out_buffers_.size(), out_.size() + 1));
-    std::vector<uint8_t>& buffer = out_buffers_[out_.size()];
+    const steer_decision decision = instance_.OnSegment(now, *packet, bytes);
     if (decision.verdict == steer_verdict::kForward) {
-      platform_.wrap_packet(bytes, decision.server, decision.cookie, buffer);
-      out_.push_back({decision.destination, buffer});
-    } else {
+      AddForward(bytes, decision);
+    } else if (decision.verdict == steer_verdict::kReset) {
+      std::vector<uint8_t>& buffer = NextBuffer();
       platform_.make_reset(*packet, buffer);
       out_.push_back({{packet->caller.address, caller_port_}, buffer});
     }
   }
 
+  void AddForward(std::span<const uint8_t> bytes,
+                  const steer_decision& decision) {
+    if (out_.size() == udp_batch::kMaxDatagrams) SendOut();
+    std::vector<uint8_t>& buffer = NextBuffer();
+    platform_.wrap_packet(bytes, decision.server, decision.cookie, buffer);
+    out_.push_back({decision.destination, buffer});
+  }
+
+  /// The buffer of the datagram that is added next; earlier ones stay put.
+  std::vector<uint8_t>& NextBuffer() { return out_buffers_[out_.size()]; }
+
   void SendOut() {
     if (out_.empty()) return;
     const size_t sent = sender_.Send(socket_, out_);
@@ -199,9 +232,11 @@
   io_watcher watcher_;
   const uint16_t caller_port_;
   timer_watcher ticker_;
+  timer_watcher handshake_timer_;
+  bool is_armed_ = false;
   udp_batch batch_;
   udp_batch sender_;
-  std::vector<std::vector<uint8_t>> out_buffers_;
+  std::array<std::vector<uint8_t>, udp_batch::kMaxDatagrams> out_buffers_;
   std::vector<datagram> out_;
   time_point last_tick_{};
   duration suspended_{};
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -47,8 +47,19 @@
     SendRound(now);
   }
 
-  steer_decision OnSegment(time_point now, const segment& packet) {
-    return steering_.OnSegment(now, packet);
+  steer_decision OnSegment(time_point now, const segment& packet,
+                           std::span<const uint8_t> bytes) {
+    now_ = now;
+    return steering_.OnSegment(now, packet, bytes);
+  }
+
+  void OnHandshakeTimer(time_point now) {
+    now_ = now;
+    steering_.OnHandshakeTimer(now);
+  }
+
+  time_point NextHandshakeCheck() const {
+    return steering_.NextHandshakeCheck();
   }
 
   void OnStoreReply(time_point now, store_reply reply) {
@@ -105,7 +116,7 @@
                      .With("ms", length.count() / 1000));
     steering_.OnPause(now, settings_.hold_after_pause);
     confirmed_at_ = time_point{};
-    for (const auto& follower : followers_) follower->Restart(now);
+    for (const auto& follower : followers_) follower->Restart();
   }
 
   void OnTick(time_point now) {
@@ -132,7 +143,12 @@
   }
 
   bool IsReady(time_point now) const {
-    return replica_.IsComplete() && !is_stopping_ && !steering_.IsCutOff(now);
+    if (!replica_.IsComplete() || is_stopping_) return false;
+    if (steering_.IsCutOff(now)) return false;
+    // Behind a cut with nothing to serve from, callers are better off with
+    // instances of other domains, which the fabric turns to only if all of
+    // this one decline. Without a cut others could do no better.
+    return steering_.CanServe() || !peers_.IsDomainCutOff(now);
   }
 
   std::string ExportCollection(time_point now, collection what) const {
@@ -161,6 +177,7 @@
     flow_steering::hooks result;
     result.log = actions_.log;
     result.check_server = actions_.check_server;
+    result.send_again = actions_.send_again;
     result.owns_cold = [this](const known_server& server) {
       return server.failure_domain == settings_.peers.failure_domain &&
              peers_.Owns(now_, server.id.Value());
@@ -237,7 +254,7 @@
     for (const collection what : kAllCollections) {
       store_follower& follower = *followers_[Index(what)];
       if (should) {
-        follower.Follow(now, replica_.Revision(what));
+        follower.Follow(replica_.Revision(what));
       } else {
         follower.Stop();
       }
@@ -329,9 +346,15 @@
                                    std::move(actions))) {}
 entry_instance::~entry_instance() = default;
 void entry_instance::Start(time_point now) { impl_->Start(now); }
-steer_decision entry_instance::OnSegment(time_point now,
-                                         const segment& packet) {
-  return impl_->OnSegment(now, packet);
+steer_decision entry_instance::OnSegment(time_point now, const segment& packet,
+                                         std::span<const uint8_t> bytes) {
+  return impl_->OnSegment(now, packet, bytes);
+}
+void entry_instance::OnHandshakeTimer(time_point now) {
+  impl_->OnHandshakeTimer(now);
+}
+time_point entry_instance::NextHandshakeCheck() const {
+  return impl_->NextHandshakeCheck();
 }
 void entry_instance::OnStoreReply(time_point now, store_reply reply) {
   impl_->OnStoreReply(now, std::move(reply));
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -36,6 +36,9 @@
     std::function<void(const endpoint& peer, std::string digest)> send_digest;
     /// Fetch a collection from another instance; answered by OnFetched.
     std::function<void(const endpoint& peer, collection what)> fetch;
+    /// Send a packet that opened a flow once more, as decided.
+    std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
+        send_again;
     /// Test whether a backend server takes connections; answered by
     /// OnServerChecked.
     std::function<void(backend_server_id, endpoint)> check_server;
@@ -47,7 +50,11 @@
 
   // Events.
   void Start(time_point now);
-  steer_decision OnSegment(time_point now, const segment& packet);
+  /// As flow_steering::OnSegment.
+  steer_decision OnSegment(time_point now, const segment& packet,
+                           std::span<const uint8_t> bytes);
+  /// To be called when NextHandshakeCheck is due.
+  void OnHandshakeTimer(time_point now);
   void OnStoreReply(time_point now, store_reply reply);
   /// Throws malformed_message.
   void OnDigest(time_point now, std::string_view bytes);
@@ -63,6 +70,9 @@
   void OnStop(time_point now);
   void SetSeeds(std::vector<endpoint> seeds);
 
+  /// kNever if no handshake is under way.
+  time_point NextHandshakeCheck() const;
+
   static constexpr duration kTickInterval = flow_steering::kTickInterval;
 
   /// True if the fabric may send new flows here.
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 
 #include "poplarstair/steering/peer_loads.h"
@@ -21,6 +22,10 @@
 constexpr uint32_t kChecksPerTick = 4;
 /// Most servers that one report to other instances names.
 constexpr size_t kMaxReports = 64;
+/// Weight of the newest handshake in the usual time of one.
+constexpr double kHandshakeWeight = 0.05;
+/// Most handshakes that are waited for; more would be a flood.
+constexpr size_t kMaxAwaited = 4096;
 /// Load below which a server is not worth reporting.
 constexpr double kReportedLoad = 0.05;
 /// Without any answer from any server for this long, and with several of them
@@ -46,6 +51,8 @@
   /// When what the caller may have to repeat was sent first.
   time_point sent_at{};
   time_point request_at{};
+  /// When the caller repeated its opening packet last.
+  time_point copied_at{};
   time_point last_seen{};
 };
 
@@ -88,15 +95,31 @@
     }
   }
 
-  steer_decision OnSegment(time_point now, const segment& packet) {
+  steer_decision OnSegment(time_point now, const segment& packet,
+                           std::span<const uint8_t> bytes) {
     const uint64_t hash = packet.FlowHash();
     const steer_decision decision = packet.opens_flow
                                         ? OnOpening(now, packet, hash)
                                         : OnOpenFlow(now, packet, hash);
+    if (packet.opens_flow && decision.verdict == steer_verdict::kForward) {
+      Await(now, packet, hash, {bytes.begin(), bytes.end()}, 0);
+    }
     decisions_[static_cast<size_t>(decision.reason)]->Add();
     return decision;
   }
 
+  time_point NextHandshakeCheck() const {
+    return awaited_.empty() ? kNever : awaited_.front().due_at;
+  }
+
+  void OnHandshakeTimer(time_point now) {
+    while (!awaited_.empty() && awaited_.front().due_at <= now) {
+      awaited_handshake overdue = std::move(awaited_.front());
+      awaited_.pop_front();
+      OnOverdue(now, std::move(overdue));
+    }
+  }
+
   void OnCatalog(time_point now, const catalog& current) {
     if (complete_since_ == kNever) complete_since_ = now;
     for (const server_row row : servers_.Update(now, current)) {
@@ -106,6 +129,10 @@
     }
     estimates_.Resize(servers_.Size());
     routes_.Update(current.routes);
+    services_.clear();
+    for (const service_limits& s : current.routes.services) {
+      services_.push_back(s.name);
+    }
     idle_timeout_ = current.routes.idle_timeout;
   }
 
@@ -127,10 +154,11 @@
     for (const server_report& report : reports) {
       const server_row row = servers_.FindCookie(report.server);
       if (row == kNoServer) continue;
-      const double load = peer_loads_.Sum(
+      const server_report sum = peer_loads_.Sum(
           now, settings_.estimates.peer_load_age, report.server);
-      estimates_.SetPeerLoad(now, row, load);
-      if (report.is_silent && estimates_.OnPeerSilence(now, row)) {
+      estimates_.SetPeerLoad(now, row, sum.load);
+      if (sum.witnesses > 0 &&
+          estimates_.OnPeerWitnesses(now, row, sum.witnesses)) {
         LogSilence(now, row, "peer");
       }
     }
@@ -139,7 +167,8 @@
   void OnServerChecked(time_point now, backend_server_id server,
                        bool is_reachable) {
     const server_row row = servers_.FindId(server);
-    if (row == kNoServer || !is_reachable) return;
+    if (row == kNoServer) return;
+    if (!is_reachable) return estimates_.OnUnreachable(row);
     estimates_.OnReachable(now, row);
     actions_.log(
         log_record("server_reachable").With("server", Hex(server.Value())));
@@ -150,10 +179,7 @@
       next_sweep_ = now + std::chrono::seconds(1);
       Sweep(now);
     }
-    if (now >= next_check_) {
-      next_check_ = now + settings_.check_interval;
-      CheckSilentServers();
-    }
+    TestSilentServers(now);
   }
 
   std::vector<server_report> Reports(time_point now) const {
@@ -162,9 +188,9 @@
       const known_server& server = servers_.At(row);
       if (server.gone_at != kNever) continue;
       const double load = estimates_.OwnLoad(now, row);
-      const bool is_silent = estimates_.IsSilentHere(row);
-      if (load < kReportedLoad && !is_silent) continue;
-      reports.push_back({server.cookie, load, is_silent});
+      const uint32_t witnesses = estimates_.OwnWitnesses(now, row);
+      if (load < kReportedLoad && witnesses == 0) continue;
+      reports.push_back({server.cookie, load, witnesses});
       if (reports.size() == kMaxReports) break;
     }
     return reports;
@@ -172,16 +198,34 @@
 
   size_t OpenFlows() const { return flows_.size(); }
 
+  bool CanServe() const {
+    return std::all_of(services_.begin(), services_.end(),
+                       [this](const std::string& s) { return HasServer(s); });
+  }
+
   bool IsCutOff(time_point now) const {
     if (now - last_progress_ < kCutOffAfter) return false;
     uint32_t silent = 0;
     for (server_row row = 0; row < servers_.Size(); ++row) {
-      if (estimates_.IsSilentHere(row)) ++silent;
+      if (estimates_.IsSilent(row) && estimates_.OwnWitnesses(now, row) > 0) {
+        ++silent;
+      }
     }
     return silent >= kCutOffServers;
   }
 
  private:
+  /// True if a server of the service answers, or there is none to be silent.
+  bool HasServer(const std::string& service) const {
+    bool has_silent = false;
+    for (const server_row row : servers_.OfService(service)) {
+      if (!servers_.At(row).TakesNewFlows()) continue;
+      if (!estimates_.IsSilent(row)) return true;
+      has_silent = true;
+    }
+    return !has_silent;
+  }
+
   bool IsFresh(time_point now) const {
     return now - confirmed_at_ <= settings_.fresh_enough;
   }
@@ -209,6 +253,7 @@
     }
     server_row avoided = kNoServer;
     if (record != nullptr) {
+      record->copied_at = now;
       NoteRepeat(now, *record, hash);
       if (AnswersOthers(now, *record)) {
         return Forward(record->row, steer_reason::kPlacedAgain);
@@ -218,6 +263,58 @@
     return Place(now, packet, hash, *route, *service, avoided);
   }
 
+  /// A packet that opened a flow and waits for its handshake.
+  struct awaited_handshake {
+    time_point due_at{};
+    uint64_t hash = 0;
+    segment packet;
+    std::vector<uint8_t> bytes;
+    uint8_t sent_again = 0;
+    /// When it was sent; a later copy has a wait of its own.
+    time_point sent_at{};
+  };
+
+  void Await(time_point now, const segment& packet, uint64_t hash,
+             std::vector<uint8_t> bytes, uint8_t sent_again) {
+    if (awaited_.size() >= kMaxAwaited) return;
+    awaited_.push_back({now + HandshakeLimit(), hash, packet, std::move(bytes),
+                        sent_again, now});
+  }
+
+  duration HandshakeLimit() const {
+    const auto adapted = duration(
+        static_cast<int64_t>(usual_handshake_ * settings_.handshake_factor));
+    return std::max(settings_.handshake_limit, adapted);
+  }
+
+  /// The caller would repeat its packet only after its own timeout. A server
+  /// that answers others gets the packet again, as it was likely lost; for one
+  /// that answers nobody another is chosen.
+  void OnOverdue(time_point now, awaited_handshake overdue) {
+    const auto it = flows_.find(overdue.hash);
+    if (it == flows_.end() || it->second.is_open) return;
+    flow_record& record = it->second;
+    if (record.copied_at > overdue.sent_at || now < late_until_) return;
+    if (overdue.sent_again >= settings_.most_sends_again) return;
+    if (estimates_.OnOverdue(now, record.row, overdue.hash, record.sent_at)) {
+      LogSilence(now, record.row, "handshakes");
+    }
+    const service_route* route = routes_.Find(overdue.packet.service);
+    if (route == nullptr || IsHolding(now)) return;
+    const std::string* service = route_index::ServiceOf(*route, overdue.hash);
+    if (service == nullptr) return;
+    steer_decision decision = Forward(record.row, steer_reason::kPlacedAgain);
+    if (!AnswersOthers(now, record)) {
+      decision = Place(now, overdue.packet, overdue.hash, *route, *service,
+                       record.row);
+    }
+    if (decision.verdict != steer_verdict::kForward) return;
+    decisions_[static_cast<size_t>(decision.reason)]->Add();
+    actions_.send_again(overdue.bytes, decision);
+    Await(now, overdue.packet, overdue.hash, std::move(overdue.bytes),
+          static_cast<uint8_t>(overdue.sent_again + 1));
+  }
+
   /// True if a flow's server lives, so that a copy of its packet has to reach
   /// the same one: two servers must not answer one flow.
   bool AnswersOthers(time_point now, const flow_record& record) const {
@@ -310,10 +407,19 @@
       if (route != nullptr) record.kind = route->kind;
       return;
     }
-    handshake_time_.Observe(now - record.request_at);
+    const duration took = now - record.request_at;
+    handshake_time_.Observe(took);
+    NoteHandshake(took);
     OnProgress(now, record.row);
   }
 
+  void NoteHandshake(duration took) {
+    // One that had to be repeated says nothing about the usual time.
+    if (took > HandshakeLimit()) return;
+    const auto sample = static_cast<double>(took.count());
+    usual_handshake_ += kHandshakeWeight * (sample - usual_handshake_);
+  }
+
   void Track(time_point now, const segment& packet, flow_record& record,
              uint64_t hash) {
     if (IsAfter(packet.acknowledged, record.acknowledged)) {
@@ -388,7 +494,8 @@
     }
     const known_server& server = servers_.At(record.row);
     const time_point progress = estimates_.LastProgress(record.row);
-    if (server.gone_at != kNever && progress < server.gone_at &&
+    // An entry can lapse while its server lives, so silence has to join in.
+    if (server.gone_at != kNever && estimates_.IsSilent(record.row) &&
         now - server.gone_at >= settings_.gone_to_reset && IsFresh(now)) {
       return steer_reason::kServerGone;
     }
@@ -396,9 +503,10 @@
     if (record.kind != request_kind::kIdempotent) {
       return steer_reason::kOpenFlow;
     }
+    // Callers alone can't tell a lost server from packets lost on the way.
     const bool is_certain =
-        estimates_.Witnesses(record.row) >= settings_.witnesses_to_reset ||
-        (server.gone_at != kNever && estimates_.IsSilent(record.row));
+        estimates_.IsUnreachable(record.row) &&
+        estimates_.Witnesses(record.row) >= settings_.witnesses_to_reset;
     if (is_certain && now >= late_until_ &&
         now - progress >= settings_.silence_to_reset) {
       return steer_reason::kServerSilent;
@@ -457,14 +565,15 @@
     }
   }
 
-  void CheckSilentServers() {
+  void TestSilentServers(time_point now) {
     uint32_t checks = 0;
     for (size_t i = 0; i < servers_.Size() && checks < kChecksPerTick; ++i) {
       next_checked_ = (next_checked_ + 1) % servers_.Size();
       const known_server& server = servers_.At(next_checked_);
-      if (!estimates_.IsSilent(next_checked_)) continue;
+      if (!estimates_.NeedsTest(now, next_checked_)) continue;
       if (server.gone_at != kNever) continue;
       ++checks;
+      estimates_.OnTested(now, next_checked_);
       actions_.check_server(server.id, server.address);
     }
   }
@@ -515,12 +624,16 @@
   const hooks actions_;
   server_set servers_;
   route_index routes_;
+  std::vector<std::string> services_;
   server_estimates estimates_;
   peer_loads peer_loads_;
   latency_histogram& handshake_time_;
   latency_histogram& request_time_;
   std::array<metric*, std::size(enum_names<steer_reason>::kNames)> decisions_{};
   absl::flat_hash_map<uint64_t, flow_record> flows_;
+  std::deque<awaited_handshake> awaited_;
+  /// Microseconds.
+  double usual_handshake_ = 10'000;
   std::map<server_row, time_point> next_cold_flow_;
   duration idle_timeout_ = std::chrono::seconds(15);
 
@@ -531,7 +644,6 @@
   time_point late_until_{};
   time_point last_progress_{};
   time_point next_sweep_{};
-  time_point next_check_{};
   server_row next_checked_ = 0;
 };
 
@@ -541,8 +653,15 @@
     : impl_(std::make_unique<impl>(settings, random, metrics,
                                    std::move(actions))) {}
 flow_steering::~flow_steering() = default;
-steer_decision flow_steering::OnSegment(time_point now, const segment& packet) {
-  return impl_->OnSegment(now, packet);
+steer_decision flow_steering::OnSegment(time_point now, const segment& packet,
+                                        std::span<const uint8_t> bytes) {
+  return impl_->OnSegment(now, packet, bytes);
+}
+void flow_steering::OnHandshakeTimer(time_point now) {
+  impl_->OnHandshakeTimer(now);
+}
+time_point flow_steering::NextHandshakeCheck() const {
+  return impl_->NextHandshakeCheck();
 }
 void flow_steering::OnCatalog(time_point now, const catalog& current) {
   impl_->OnCatalog(now, current);
@@ -567,6 +686,7 @@
   return impl_->Reports(now);
 }
 size_t flow_steering::OpenFlows() const { return impl_->OpenFlows(); }
+bool flow_steering::CanServe() const { return impl_->CanServe(); }
 bool flow_steering::IsCutOff(time_point now) const {
   return impl_->IsCutOff(now);
 }
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,9 @@
   estimate_settings estimates;
   choice_settings choice;
   /// Observations that a server answers nobody before its open flows are
-  /// reset. A live server acknowledges data at once, however slow it works.
-  uint32_t witnesses_to_reset = 3;
+  /// reset, besides a connection that it did not take. A live server
+  /// acknowledges data at once, however slow it works.
+  uint32_t witnesses_to_reset = 2;
   /// Silence before open flows are reset; a server that lives has been asked
   /// twice by then, 200 ms apart.
   duration silence_to_reset = std::chrono::milliseconds(450);
@@ -34,8 +36,13 @@
   duration gone_to_reset = std::chrono::milliseconds(2500);
   /// How old the catalog may be for a refusal that rests on it.
   duration fresh_enough = std::chrono::milliseconds(1500);
-  /// Time between connections that test a silent server.
-  duration check_interval = std::chrono::milliseconds(400);
+  /// Least time after which a handshake is overdue. Callers repeat after
+  /// 200 ms; by then a flow's latency target may be missed.
+  duration handshake_limit = std::chrono::milliseconds(40);
+  /// The same as a multiple of the usual time of a handshake.
+  double handshake_factor = 4;
+  /// How often this instance sends a packet that opens a flow on its own.
+  uint8_t most_sends_again = 3;
   /// Packets that were late themselves prove nothing about a server for this
   /// long.
   duration late_grace = std::chrono::milliseconds(600);
@@ -88,6 +95,9 @@
     /// Test whether a silent server takes connections; answered by
     /// OnServerChecked.
     std::function<void(backend_server_id, endpoint)> check_server;
+    /// Send a packet that opened a flow once more, as decided.
+    std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
+        send_again;
     /// True if this instance alone opens flows to the cold server.
     std::function<bool(const known_server&)> owns_cold;
   };
@@ -97,7 +107,12 @@
   ~flow_steering();
 
   // Events.
-  steer_decision OnSegment(time_point now, const segment& packet);
+  /// `bytes` is the packet itself, which is not read here: one that opens a
+  /// flow is kept until the handshake is over, to be sent to another server.
+  steer_decision OnSegment(time_point now, const segment& packet,
+                           std::span<const uint8_t> bytes);
+  /// To be called when NextHandshakeCheck is due.
+  void OnHandshakeTimer(time_point now);
   void OnCatalog(time_point now, const catalog& current);
   /// When the store last confirmed the catalog, here or at another instance.
   void OnConfirmed(time_point confirmed_at);
@@ -116,9 +131,14 @@
 
   static constexpr duration kTickInterval = std::chrono::milliseconds(100);
 
+  /// When a handshake will be overdue; kNever if none is under way.
+  time_point NextHandshakeCheck() const;
   /// For other instances: servers with work in progress, or silent.
   std::vector<server_report> Reports(time_point now) const;
   size_t OpenFlows() const;
+  /// False if some service has servers that take new flows, and every one of
+  /// them is silent from here.
+  bool CanServe() const;
   /// True if servers have been silent and none has answered lately: this
   /// instance is the one that is cut off.
   bool IsCutOff(time_point now) const;
--- a/poplarstair/steering/peer_digest.cc
+++ b/poplarstair/steering/peer_digest.cc
@@ -18,8 +18,8 @@
 struct report_fields {
   uint32_t server = 0;
   uint32_t load = 0;
-  bool is_silent = false;
-  MSGPACK_DEFINE(server, load, is_silent)
+  uint32_t witnesses = 0;
+  MSGPACK_DEFINE(server, load, witnesses)
 };
 
 struct named_fields {
@@ -64,7 +64,7 @@
   for (const server_report& r : digest.reports) {
     const double scaled = std::clamp(r.load * kLoadScale, 0.0, 1e9);
     fields.reports.push_back(
-        {r.server, static_cast<uint32_t>(std::lround(scaled)), r.is_silent});
+        {r.server, static_cast<uint32_t>(std::lround(scaled)), r.witnesses});
   }
   for (const named_peer& peer : digest.peers) {
     fields.peers.push_back({peer.address.Pack(), peer.life,
@@ -91,7 +91,7 @@
   digest.revisions = fields.revisions;
   digest.age = std::chrono::milliseconds(fields.age_ms);
   for (const report_fields& r : fields.reports) {
-    digest.reports.push_back({r.server, r.load / kLoadScale, r.is_silent});
+    digest.reports.push_back({r.server, r.load / kLoadScale, r.witnesses});
   }
   for (const named_fields& peer : fields.peers) {
     digest.peers.push_back({endpoint::Unpack(peer.address), peer.life,
--- a/poplarstair/steering/peer_loads.h
+++ b/poplarstair/steering/peer_loads.h
@@ -19,13 +19,16 @@
     peers_[peer] = {now, reports};
   }
 
-  /// Load at `server` over all peers heard of within `max_age`.
-  double Sum(time_point now, duration max_age, flow_cookie server) {
-    double sum = 0;
+  /// What all peers heard of within `max_age` see at `server` together.
+  server_report Sum(time_point now, duration max_age,
+                    flow_cookie server) const {
+    server_report sum{server, 0, 0};
     for (const auto& [peer, said] : peers_) {
       if (now - said.at > max_age) continue;
       for (const server_report& report : said.reports) {
-        if (report.server == server) sum += report.load;
+        if (report.server != server) continue;
+        sum.load += report.load;
+        sum.witnesses += report.witnesses;
       }
     }
     return sum;
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -58,6 +58,7 @@
   known.revisions = digest.revisions;
   known.is_following = digest.is_following;
   known.last_heard = now;
+  if (known.failure_domain != settings_.failure_domain) far_heard_at_ = now;
   known.confirmed_at = now - digest.age;
   for (const named_peer& named : digest.peers) OnNamed(now, named);
   return true;
@@ -230,6 +231,11 @@
   return now - better_since_ < settings_.hand_back_after;
 }
 
+bool peer_view::IsDomainCutOff(time_point now) const {
+  return far_heard_at_ != time_point{} &&
+         now - far_heard_at_ > settings_.cut_after;
+}
+
 bool peer_view::Owns(time_point now, uint64_t key) const {
   return !IsJoining(now) && Rank(key) == 0;
 }
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -36,7 +36,10 @@
   /// Instances of the own domain that a digest goes to in each round.
   uint32_t fan_out = 3;
   /// Every how many rounds one goes to another domain.
-  uint32_t rounds_between_domains = 4;
+  uint32_t rounds_between_domains = 2;
+  /// Without any digest from another domain for this long there is a cut; some
+  /// two a second arrive.
+  duration cut_after = std::chrono::milliseconds(1500);
   /// Instances that are told of a change at once; with more, the rounds carry
   /// it further.
   uint32_t change_fan_out = 32;
@@ -81,6 +84,9 @@
   /// True if this instance, of all in its domain, is chosen for `key`.
   bool Owns(time_point now, uint64_t key) const;
 
+  /// True if other domains were heard of, and none is any more.
+  bool IsDomainCutOff(time_point now) const;
+
   size_t Size() const { return members_.size(); }
 
  private:
@@ -111,6 +117,7 @@
   std::map<endpoint, incarnation> stopped_;
   time_point started_at_{};
   time_point better_since_ = kNever;
+  time_point far_heard_at_{};
   uint32_t round_ = 0;
 };
 
--- a/poplarstair/steering/server_report.h
+++ b/poplarstair/steering/server_report.h
@@ -10,8 +10,8 @@
   flow_cookie server = 0;
   /// Smoothed work in progress.
   double load = 0;
-  /// The instance's own callers have waited for it in vain.
-  bool is_silent = false;
+  /// Flows of the instance's own callers that have waited for it in vain.
+  uint32_t witnesses = 0;
 };
 
 }  // namespace poplarstair
