--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -76,7 +76,8 @@
   // It has answered somebody since: this flow has a trouble of its own.
   if (e.last_progress >= sent_at) return false;
   if (!e.is_silent && now - e.witness_at > settings_.witness_age) {
-    ClearSilence(e);
+    e.waiting = 0;
+    e.repeats = 0;
   }
   e.repeats = static_cast<uint8_t>(std::min(e.repeats + 1, 255));
   e.witness_at = now;
@@ -91,7 +92,8 @@
 
 bool server_estimates::AddWitness(time_point now, estimate& e, uint64_t flow) {
   if (!e.is_silent && now - e.witness_at > settings_.witness_age) {
-    ClearSilence(e);
+    e.waiting = 0;
+    e.repeats = 0;
   }
   e.witness_at = now;
   const auto end = e.waiting_flows.begin() + e.waiting;
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -157,8 +157,7 @@
       const server_report sum = peer_loads_.Sum(
           now, settings_.estimates.peer_load_age, report.server);
       estimates_.SetPeerLoad(now, row, sum.load);
-      if (sum.witnesses > 0 &&
-          estimates_.OnPeerWitnesses(now, row, sum.witnesses)) {
+      if (estimates_.OnPeerWitnesses(now, row, sum.witnesses)) {
         LogSilence(now, row, "peer");
       }
     }
--- /dev/null
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -0,0 +1,104 @@
+#include "poplarstair/catalog/catalog_replica.h"
+
+#include <criterion/criterion.h>
+
+#include "poplarstair/core/error.h"
+
+using namespace poplarstair;
+
+namespace {
+
+constexpr time_point kNow{std::chrono::seconds(10)};
+
+store_object Server(const std::string& name, uint64_t id) {
+  server_entry server;
+  server.id = backend_server_id(id);
+  server.service = "a";
+  server.address = endpoint::Parse("10.0.0.1:80");
+  server.failure_domain = "z";
+  server.cold_until = kNow + std::chrono::seconds(3);
+  server.born_ms = 1234;
+  return {name, false, server};
+}
+
+store_object Routes(uint64_t version) {
+  route_table table;
+  table.version = version;
+  service_route route;
+  route.address = endpoint::Parse("198.18.0.1:443");
+  route.services = {{"a", 9}, {"b", 1}};
+  route.kind = request_kind::kUpload;
+  route.timeout = std::chrono::seconds(1);
+  table.routes = {route};
+  table.services = {{"a", 2.5, 100}};
+  return {"main", false, table};
+}
+
+catalog_replica MakeReplica() {
+  return catalog_replica([](const log_record&) {});
+}
+
+}  // namespace
+
+Test(catalog_replica, another_instance_takes_over_all_that_one_knows) {
+  catalog_replica first = MakeReplica();
+  first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  first.Replace(kNow, collection::kServers, 6, {Server("i-1", 1)});
+  first.Replace(kNow, collection::kWithdrawals, 7, {{"z2", false, {}}});
+  catalog_replica second = MakeReplica();
+  // The other instance's clock shows another time.
+  const time_point there{std::chrono::seconds(9000)};
+  for (const collection what :
+       {collection::kRoutes, collection::kServers, collection::kWithdrawals}) {
+    cr_assert(second.Import(there, what, first.Export(kNow, what)));
+  }
+  cr_assert(second.IsComplete());
+  const catalog& taken = second.Current();
+  cr_assert_eq(taken.routes.version, 3u);
+  cr_assert_eq(taken.routes.routes.at(0).services.at(0).weight, 9u);
+  cr_assert_eq(taken.routes.routes.at(0).kind, request_kind::kUpload);
+  cr_assert_eq(taken.routes.services.at(0).cold_flows_per_second, 2.5);
+  cr_assert_eq(taken.servers.at("i-1").cold_until,
+               there + std::chrono::seconds(3));
+  cr_assert_eq(taken.servers.at("i-1").born_ms, 1234);
+  cr_assert_eq(taken.withdrawn_domains.at(0), "z2");
+}
+
+Test(catalog_replica, never_goes_back) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kRoutes, 20, {Routes(8)});
+  cr_assert_not(replica.Replace(kNow, collection::kRoutes, 19, {Routes(7)}));
+  replica.Change(kNow, collection::kRoutes, 21, {Routes(7)});
+  cr_assert_eq(replica.Current().routes.version, 8u);
+  catalog_replica old = MakeReplica();
+  old.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  const std::string exported = old.Export(kNow, collection::kRoutes);
+  cr_assert_not(replica.Import(kNow, collection::kRoutes, exported));
+  cr_assert_eq(replica.Current().routes.version, 8u);
+}
+
+Test(catalog_replica, an_entry_that_turns_unreadable_is_the_only_one_lost) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kServers, 5,
+                  {Server("i-1", 1), Server("i-2", 2)});
+  replica.Change(kNow, collection::kServers, 6,
+                 {{"i-1", false, unreadable_object{"no state"}}});
+  cr_assert_not(replica.Current().servers.contains("i-1"));
+  cr_assert(replica.Current().servers.contains("i-2"));
+}
+
+Test(catalog_replica, follows_withdrawal_and_return) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kWithdrawals, 5, {});
+  replica.Change(kNow, collection::kWithdrawals, 6, {{"z", false, {}}});
+  cr_assert_eq(replica.Current().withdrawn_domains.size(), 1u);
+  replica.Change(kNow, collection::kWithdrawals, 7, {{"z", true, {}}});
+  cr_assert(replica.Current().withdrawn_domains.empty());
+}
+
+Test(catalog_replica, malformed_bytes_change_nothing) {
+  catalog_replica replica = MakeReplica();
+  cr_assert_throw(replica.Import(kNow, collection::kServers, "rubbish"),
+                  malformed_message);
+  cr_assert_eq(replica.Revision(collection::kServers), 0u);
+}
--- /dev/null
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -0,0 +1,127 @@
+#include "poplarstair/catalog/store_follower.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+using namespace poplarstair;
+
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(50)};
+using std::chrono::milliseconds;
+
+/// A follower whose store is played by the test.
+struct followed_store {
+  std::vector<store_request> calls;
+  std::vector<store_revision> replaced;
+  std::vector<size_t> replaced_objects;
+  std::vector<store_revision> changed;
+  store_follower follower{collection::kServers,
+                          {},
+                          random_source(1),
+                          {[this](store_request r) { calls.push_back(r); },
+                           [this](store_revision revision, auto objects) {
+                             replaced.push_back(revision);
+                             replaced_objects.push_back(objects.size());
+                           },
+                           [this](store_revision revision, auto) {
+                             changed.push_back(revision);
+                           },
+                           [](const log_record&) {}}};
+
+  void Answer(time_point now, store_status status, store_revision revision,
+              std::vector<store_object> objects = {}, bool has_more = false) {
+    follower.OnReply(now, {calls.back().id, status, revision,
+                           std::move(objects), has_more});
+  }
+};
+
+}  // namespace
+
+Test(store_follower, lists_every_page_then_watches_from_the_first_ones_state) {
+  followed_store store;
+  store.follower.Follow(0);
+  store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
+  cr_assert_eq(store.calls.back().after, "a");
+  store.Answer(kStart, store_status::kOk, 14, {{"b", false, {}}});
+  cr_assert_eq(store.replaced.at(0), 10u);
+  cr_assert_eq(store.replaced_objects.at(0), 2u);
+  cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
+  cr_assert_eq(store.calls.back().revision, 10u);
+}
+
+Test(store_follower, goes_on_from_a_state_that_a_peer_handed_over) {
+  followed_store store;
+  store.follower.Follow(40);
+  cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
+  store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
+  cr_assert_eq(store.changed.at(0), 44u);
+  cr_assert_eq(store.calls.back().revision, 44u);
+}
+
+Test(store_follower, lists_anew_when_the_history_is_gone) {
+  followed_store store;
+  store.follower.Follow(40);
+  store.Answer(kStart, store_status::kHistoryGone, 0);
+  cr_assert_eq(store.calls.back().operation, store_operation::kList);
+}
+
+// A watch that waited its usual time while the store was away heard of its
+// return seconds late.
+Test(store_follower, waits_only_briefly_while_the_store_is_lost) {
+  followed_store store;
+  store.follower.Follow(40);
+  const duration usual = store.calls.back().timeout;
+  store.Answer(kStart, store_status::kNoAnswer, 0);
+  store.follower.OnTick(kStart + milliseconds(400));
+  cr_assert_eq(store.calls.size(), 2u);
+  cr_assert_leq(store.calls.back().wait, duration(milliseconds(100)));
+  store.Answer(kStart + milliseconds(500), store_status::kOk, 41);
+  cr_assert_eq(store.calls.back().timeout, usual);
+}
+
+Test(store_follower, pauses_longer_after_each_failure_and_never_too_long) {
+  followed_store store;
+  store.follower.Follow(40);
+  time_point now = kStart;
+  std::vector<duration> pauses;
+  for (int i = 0; i < 8; ++i) {
+    store.Answer(now, store_status::kThrottled, 0);
+    const time_point failed_at = now;
+    const size_t calls = store.calls.size();
+    while (store.calls.size() == calls) {
+      now += milliseconds(10);
+      store.follower.OnTick(now);
+    }
+    pauses.push_back(now - failed_at);
+  }
+  cr_assert_lt(pauses.front(), duration(milliseconds(250)));
+  cr_assert_gt(pauses.back(), duration(milliseconds(800)));
+  cr_assert_leq(pauses.back(), duration(milliseconds(1600)));
+}
+
+Test(store_follower, ignores_answers_to_calls_that_it_has_given_up) {
+  followed_store store;
+  store.follower.Follow(0);
+  const uint64_t old_call = store.calls.back().id;
+  store.follower.Restart();
+  store.follower.OnReply(kStart, {old_call, store_status::kOk, 9, {}, false});
+  cr_assert(store.replaced.empty());
+  store.follower.Stop();
+  store.Answer(kStart, store_status::kOk, 9);
+  cr_assert(store.replaced.empty());
+}
+
+Test(store_follower, is_current_only_while_the_store_answers) {
+  followed_store store;
+  store.follower.Follow(0);
+  cr_assert_eq(store.follower.ConfirmedAt(kStart), time_point{});
+  store.Answer(kStart, store_status::kOk, 9);
+  const time_point later = kStart + std::chrono::seconds(2);
+  cr_assert_eq(store.follower.ConfirmedAt(later), later);
+  store.Answer(later, store_status::kNoAnswer, 0);
+  store.follower.OnTick(later + std::chrono::seconds(2));
+  cr_assert_eq(store.follower.ConfirmedAt(later + std::chrono::seconds(3)),
+               kStart);
+}
--- /dev/null
+++ b/unit_tests/platform/store_codec_test.cc
@@ -0,0 +1,144 @@
+#include "platform/store_codec.h"
+
+#include <criterion/criterion.h>
+
+using namespace poplarstair;
+
+namespace {
+
+constexpr time_point kNow{std::chrono::seconds(100)};
+
+store_request ListOf(collection what) {
+  store_request request;
+  request.id = 7;
+  request.what = what;
+  return request;
+}
+
+store_reply Decode(const store_request& request, int status,
+                   const std::string& body) {
+  return FromStoreAnswer(kNow, request, http_reply{status, {}, body});
+}
+
+/// A list of backend servers with one entry whose spec is `spec`, and one that
+/// is as it should be.
+store_reply DecodeServers(const std::string& spec) {
+  const std::string good =
+      R"({"service":"a","address":"10.0.0.2:80","zone":"z","version":"v1",)"
+      R"("slots":3,"state":"ready","cold_remaining_ms":0,"seq":4})";
+  return Decode(ListOf(collection::kServers), 200,
+                R"({"items":[{"meta":{"name":"i-1"},"spec":)" + spec +
+                    R"(},{"meta":{"name":"i-2"},"spec":)" + good +
+                    R"(}],"has_more":false,"at_rev":9})");
+}
+
+bool IsUnreadable(const store_object& object) {
+  return std::holds_alternative<unreadable_object>(object.content);
+}
+
+}  // namespace
+
+Test(store_codec, names_each_call) {
+  const endpoint store = endpoint::Parse("10.200.1.7:8169");
+  store_request request = ListOf(collection::kServers);
+  cr_assert_eq(ToStoreCall(request, store).url, std::string("http://10.200.1.7:8169/objects/servers"));
+  request.after = "i-7";
+  cr_assert_eq(ToStoreCall(request, store).url, std::string("http://10.200.1.7:8169/objects/servers?after=i-7"));
+  request.operation = store_operation::kWatch;
+  request.what = collection::kWithdrawals;
+  request.revision = 530;
+  request.wait = std::chrono::seconds(5);
+  cr_assert_eq(ToStoreCall(request, store).url, std::string("http://10.200.1.7:8169/objects/evacuations?watch=530&wait_ms=5000"));
+}
+
+Test(store_codec, reads_the_configuration) {
+  const store_reply reply = Decode(
+      ListOf(collection::kRoutes), 200,
+      R"({"items":[{"meta":{"name":"main"},"spec":{"version":7,"routes":[)"
+      R"({"name":"r1","hostname":"198.18.0.1","path_prefix":"/8443/",)"
+      R"("type":"safe","timeout_ms":1200,"aim_ms":200,"priority":2,)"
+      R"("split":[{"service":"a","weight":90},{"service":"b","weight":10}]},)"
+      R"({"name":"r2","hostname":"198.18.0.1","path_prefix":"/80/",)"
+      R"("type":"unsafe","timeout_ms":1500,"service":"a"}],)"
+      R"("services":[{"name":"a","max_conns":2000,"cold_s":2.0,)"
+      R"("cold_per_s":12.5}],"limits":{"idle_timeout_ms":15000}}}],)"
+      R"("has_more":false,"at_rev":530})");
+  cr_assert_eq(reply.status, store_status::kOk);
+  cr_assert_eq(reply.revision, 530u);
+  const auto& table = std::get<route_table>(reply.objects.at(0).content);
+  cr_assert_eq(table.version, 7u);
+  cr_assert_eq(table.routes.at(0).address, endpoint::Parse("198.18.0.1:8443"));
+  cr_assert_eq(table.routes.at(0).kind, request_kind::kIdempotent);
+  cr_assert_eq(table.routes.at(0).services.at(1).weight, 10u);
+  cr_assert_eq(table.routes.at(1).kind, request_kind::kNotIdempotent);
+  cr_assert_eq(table.services.at(0).cold_flows_per_second, 12.5);
+  cr_assert_eq(table.idle_timeout, duration(std::chrono::seconds(15)));
+}
+
+Test(store_codec, reads_a_backend_server) {
+  const store_reply reply = DecodeServers(
+      R"({"service":"a","address":"10.128.0.9:8080","zone":"ost-a",)"
+      R"("version":"v1","slots":2,"state":"draining",)"
+      R"("cold_remaining_ms":1500,"seq":4,"born":1771027013001})");
+  const auto& server = std::get<server_entry>(reply.objects.at(0).content);
+  cr_assert_eq(server.id, backend_server_id(1));
+  cr_assert_eq(server.address, endpoint::Parse("10.128.0.9:8080"));
+  cr_assert_eq(server.state, server_state::kDraining);
+  cr_assert_eq(server.slots, 2u);
+  cr_assert_eq(server.cold_until, kNow + std::chrono::milliseconds(1500));
+  cr_assert_eq(server.born_ms, 1771027013001);
+}
+
+Test(store_codec, an_unreadable_entry_names_no_server_and_harms_no_other) {
+  const std::string bad[] = {
+      "null", "3", "[]", "{}", R"("text")",
+      // A field missing, of another type, unknown, out of range.
+      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","seq":4})",
+      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":"3","state":"ready","cold_remaining_ms":0,"seq":4})",
+      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"sleeping","cold_remaining_ms":0,"seq":4})",
+      R"({"service":"a","address":"nowhere","zone":"z","version":"v1","slots":3,"state":"ready","cold_remaining_ms":0,"seq":4})",
+      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":-1,"state":"ready","cold_remaining_ms":0,"seq":4})",
+      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","cold_remaining_ms":-5,"seq":4})",
+      R"({"service":7,"address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","cold_remaining_ms":0,"seq":4})"};
+  for (const std::string& spec : bad) {
+    const store_reply reply = DecodeServers(spec);
+    cr_assert_eq(reply.status, store_status::kOk, "%s", spec.c_str());
+    cr_assert(IsUnreadable(reply.objects.at(0)), "%s", spec.c_str());
+    cr_assert(std::holds_alternative<server_entry>(reply.objects.at(1).content),
+              "%s", spec.c_str());
+  }
+}
+
+Test(store_codec, a_name_without_an_id_is_unreadable) {
+  const store_reply reply =
+      Decode(ListOf(collection::kServers), 200,
+             R"({"items":[{"meta":{"name":"xyz"},"spec":{"service":"a",)"
+             R"("address":"10.0.0.2:80","zone":"z","version":"v1","slots":3,)"
+             R"("state":"ready","cold_remaining_ms":0,"seq":4}}],)"
+             R"("has_more":false,"at_rev":9})");
+  cr_assert(IsUnreadable(reply.objects.at(0)));
+}
+
+Test(store_codec, reads_events) {
+  store_request request = ListOf(collection::kWithdrawals);
+  request.operation = store_operation::kWatch;
+  const store_reply reply = Decode(
+      request, 200,
+      R"({"events":[{"deleted":false,"object":{"meta":{"name":"a"}}},)"
+      R"({"deleted":true,"object":{"meta":{"name":"b"}}}],"at_rev":533})");
+  cr_assert_eq(reply.objects.size(), 2u);
+  cr_assert_not(reply.objects[0].is_deleted);
+  cr_assert(reply.objects[1].is_deleted);
+}
+
+Test(store_codec, tells_refusals_apart) {
+  const store_request request = ListOf(collection::kServers);
+  cr_assert_eq(Decode(request, 410, "").status, store_status::kHistoryGone);
+  cr_assert_eq(Decode(request, 429, "").status, store_status::kThrottled);
+  cr_assert_eq(Decode(request, 503, "").status, store_status::kUnavailable);
+  cr_assert_eq(Decode(request, 200, "{").status, store_status::kMalformed);
+  cr_assert_eq(Decode(request, 200, "{}").status, store_status::kMalformed);
+  cr_assert_eq(Decode(request, 200, "[1]").status, store_status::kMalformed);
+  cr_assert_eq(FromStoreAnswer(kNow, request, std::nullopt).status,
+               store_status::kNoAnswer);
+}
--- /dev/null
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -0,0 +1,381 @@
+#include "poplarstair/steering/flow_steering.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <set>
+
+using namespace poplarstair;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr time_point kStart{seconds(100)};
+const endpoint kFeed = endpoint::Parse("198.18.0.1:443");
+const endpoint kForms = endpoint::Parse("198.18.0.1:80");
+
+/// Steering of one instance in domain "a", with four servers: 1 and 2 in its
+/// own domain, 3 and 4 in domain "b".
+class steering_site {
+ public:
+  steering_site() {
+    AddRoute(kFeed, request_kind::kIdempotent);
+    AddRoute(kForms, request_kind::kNotIdempotent);
+    known.routes.version = 1;
+    known.routes.services = {{"s", 0, 0}};
+    for (uint64_t id = 1; id <= 4; ++id) {
+      server_entry server;
+      server.id = backend_server_id(id);
+      server.service = "s";
+      server.address = endpoint::Parse("10.0.0." + std::to_string(id) + ":80");
+      server.failure_domain = id <= 2 ? "a" : "b";
+      server.slots = 2;
+      known.servers[std::to_string(id)] = server;
+    }
+    Publish();
+  }
+
+  void AddRoute(const endpoint& address, request_kind kind) {
+    service_route route;
+    route.address = address;
+    route.services = {{"s", 1}};
+    route.kind = kind;
+    known.routes.routes.push_back(route);
+  }
+
+  void Publish() {
+    steering.OnCatalog(now, known);
+    steering.OnConfirmed(now);
+  }
+
+  steer_decision Open(uint16_t port, uint32_t copy = 0,
+                      const endpoint& service = kFeed) {
+    segment packet = Packet(port, service);
+    packet.opens_flow = true;
+    packet.copy = copy;
+    return Send(packet);
+  }
+
+  /// The caller's answer to the handshake of the server named by `cookie`.
+  steer_decision Answer(uint16_t port, flow_cookie cookie,
+                        const endpoint& service = kFeed) {
+    segment packet = Packet(port, service);
+    packet.cookie = cookie;
+    packet.sequence = 1;
+    packet.acknowledged = 1;
+    return Send(packet);
+  }
+
+  /// Data from the caller; the same `sequence` again is a repetition.
+  steer_decision Data(uint16_t port, flow_cookie cookie, uint32_t sequence,
+                      uint32_t acknowledged, const endpoint& service = kFeed) {
+    segment packet = Packet(port, service);
+    packet.cookie = cookie;
+    packet.sequence = sequence;
+    packet.acknowledged = acknowledged;
+    packet.payload_bytes = 100;
+    return Send(packet);
+  }
+
+  /// Opens a flow whose server answers at once; returns the decision.
+  steer_decision OpenAndAnswer(uint16_t port, const endpoint& service = kFeed) {
+    const steer_decision placed = Open(port, 0, service);
+    now += milliseconds(3);
+    Answer(port, placed.cookie, service);
+    return placed;
+  }
+
+  void Pass(duration time) {
+    const time_point end = now + time;
+    while (now < end) {
+      now += milliseconds(20);
+      steering.OnConfirmed(now);
+      if (now >= steering.NextHandshakeCheck()) steering.OnHandshakeTimer(now);
+      steering.OnTick(now);
+    }
+  }
+
+  steer_decision Send(const segment& packet) {
+    static constexpr uint8_t kBytes[] = {42};
+    return steering.OnSegment(now, packet, kBytes);
+  }
+
+  static segment Packet(uint16_t port, const endpoint& service) {
+    segment packet;
+    packet.caller = {ip_address::Parse("100.64.0.7"), port};
+    packet.service = service;
+    return packet;
+  }
+
+  static flow_cookie Cookie(uint64_t id) {
+    return server_set::CookieOf(backend_server_id(id));
+  }
+
+  time_point now = kStart;
+  catalog known;
+  std::vector<steer_decision> sent_again;
+  std::set<backend_server_id> tested;
+  bool owns_cold = false;
+  metric_registry metrics;
+  flow_steering steering{
+      Settings(),
+      random_source(7),
+      metrics,
+      {[](const log_record&) {},
+       [this](backend_server_id id, endpoint) { tested.insert(id); },
+       [this](std::span<const uint8_t>, const steer_decision& d) {
+         sent_again.push_back(d);
+       },
+       [this](const known_server&) { return owns_cold; }}};
+
+ private:
+  static steering_settings Settings() {
+    steering_settings settings;
+    settings.failure_domain = "a";
+    return settings;
+  }
+};
+
+bool IsOwn(const steer_decision& decision) {
+  return decision.server.Value() <= 2;
+}
+
+/// Makes a server silent: two flows get no answer, even when sent again.
+backend_server_id SilenceServerOf(steering_site& site, uint16_t port) {
+  const steer_decision first = site.OpenAndAnswer(port);
+  site.now += milliseconds(500);
+  site.Data(port, first.cookie, 1, 1);
+  site.now += milliseconds(200);
+  site.Data(port, first.cookie, 1, 1);
+  site.now += milliseconds(400);
+  site.Data(port, first.cookie, 1, 1);
+  return first.server;
+}
+
+}  // namespace
+
+Test(flow_steering, places_new_flows_in_its_own_failure_domain) {
+  steering_site site;
+  for (uint16_t port = 1; port <= 50; ++port) {
+    const steer_decision placed = site.OpenAndAnswer(port);
+    cr_assert_eq(placed.verdict, steer_verdict::kForward);
+    cr_assert(IsOwn(placed));
+    cr_assert_eq(placed.cookie, site.Cookie(placed.server.Value()));
+  }
+}
+
+Test(flow_steering, spills_over_when_its_own_domain_is_full) {
+  steering_site site;
+  int spilled = 0;
+  for (uint16_t port = 1; port <= 60; ++port) {
+    const steer_decision placed = site.OpenAndAnswer(port);
+    site.Data(port, placed.cookie, 1, 1);
+    if (!IsOwn(placed)) ++spilled;
+  }
+  cr_assert_gt(spilled, 0);
+}
+
+Test(flow_steering, the_cookie_alone_names_the_server) {
+  steering_site site;
+  const steer_decision decision = site.Data(9, site.Cookie(3), 500, 700);
+  cr_assert_eq(decision.verdict, steer_verdict::kForward);
+  cr_assert_eq(decision.server, backend_server_id(3));
+}
+
+Test(flow_steering, a_later_handshake_does_not_move_an_open_flow) {
+  steering_site site;
+  site.Open(1);
+  cr_assert_eq(site.Answer(1, site.Cookie(2)).server, backend_server_id(2));
+  // A second server has answered a copy: its cookie came last.
+  const steer_decision later = site.Data(1, site.Cookie(4), 1, 1);
+  cr_assert_eq(later.server, backend_server_id(2));
+  cr_assert_eq(later.cookie, site.Cookie(2));
+}
+
+Test(flow_steering, a_copy_goes_to_the_same_server_if_that_one_lives) {
+  steering_site site;
+  const steer_decision first = site.Open(1);
+  // Every server answers somebody meanwhile.
+  for (uint64_t id = 1; id <= 4; ++id) {
+    site.Answer(static_cast<uint16_t>(100 + id), site.Cookie(id));
+    site.Open(static_cast<uint16_t>(200 + id));
+  }
+  site.now += milliseconds(10);
+  for (uint64_t id = 1; id <= 4; ++id) {
+    site.Data(static_cast<uint16_t>(100 + id), site.Cookie(id), 1, 900);
+  }
+  site.now += milliseconds(190);
+  cr_assert_eq(site.Open(1, 1).server, first.server);
+}
+
+Test(flow_steering, a_copy_goes_elsewhere_if_the_first_server_is_silent) {
+  steering_site site;
+  const steer_decision first = site.Open(1);
+  site.now += milliseconds(200);
+  cr_assert_neq(site.Open(1, 1).server, first.server);
+}
+
+// A server that fell silent cost each new flow the caller's 200 ms.
+Test(flow_steering, an_overdue_handshake_is_sent_to_another_server) {
+  steering_site site;
+  const steer_decision first = site.Open(1);
+  site.Pass(milliseconds(100));
+  cr_assert_geq(site.sent_again.size(), 1u);
+  cr_assert_neq(site.sent_again.front().server, first.server);
+  // Not without end, as every packet may be lost here.
+  site.Pass(seconds(1));
+  cr_assert_leq(site.sent_again.size(), 3u);
+}
+
+Test(flow_steering, nothing_is_sent_again_once_the_caller_has_answered) {
+  steering_site site;
+  site.OpenAndAnswer(1);
+  site.Pass(milliseconds(300));
+  cr_assert(site.sent_again.empty());
+}
+
+// Rule: a flow whose server lives must not be reset. Callers' repetitions show
+// that packets were lost, not that the server was.
+Test(flow_steering, silence_alone_resets_no_open_flow) {
+  steering_site site;
+  const backend_server_id silent = SilenceServerOf(site, 1);
+  site.Pass(milliseconds(500));
+  cr_assert(site.tested.contains(silent));
+  site.steering.OnServerChecked(site.now, silent, true);
+  const steer_decision next =
+      site.Data(1, site.Cookie(silent.Value()), 101, 1);
+  cr_assert_eq(next.verdict, steer_verdict::kForward);
+}
+
+Test(flow_steering, resets_flows_of_a_silent_server_that_takes_no_connection) {
+  steering_site site;
+  const backend_server_id lost = SilenceServerOf(site, 1);
+  const steer_decision before = site.Data(5, site.Cookie(lost.Value()), 1, 1);
+  cr_assert_eq(before.verdict, steer_verdict::kForward);
+  site.now += milliseconds(200);
+  site.Data(5, site.Cookie(lost.Value()), 1, 1);
+  site.steering.OnServerChecked(site.now, lost, false);
+  site.now += milliseconds(300);
+  const steer_decision after = site.Data(1, site.Cookie(lost.Value()), 1, 1);
+  cr_assert_eq(after.verdict, steer_verdict::kReset);
+  cr_assert_eq(after.reason, steer_reason::kServerSilent);
+  // And nothing new goes there.
+  for (uint16_t port = 20; port < 40; ++port) {
+    cr_assert_neq(site.OpenAndAnswer(port).server, lost);
+  }
+}
+
+Test(flow_steering, a_request_that_may_not_be_repeated_keeps_its_flow) {
+  steering_site site;
+  const backend_server_id lost = SilenceServerOf(site, 1);
+  const flow_cookie cookie = site.Cookie(lost.Value());
+  site.Data(5, cookie, 1, 1, kForms);
+  site.now += milliseconds(200);
+  site.Data(5, cookie, 1, 1, kForms);
+  site.steering.OnServerChecked(site.now, lost, false);
+  site.now += milliseconds(300);
+  cr_assert_eq(site.Data(5, cookie, 1, 1, kForms).verdict,
+               steer_verdict::kForward);
+}
+
+// An entry that had lapsed with the store was taken for a lost server, and a
+// flow reset that its server still answered.
+Test(flow_steering, a_lapsed_entry_resets_no_flow_that_is_served) {
+  steering_site site;
+  const steer_decision placed = site.OpenAndAnswer(1);
+  site.known.servers.erase(std::to_string(placed.server.Value()));
+  site.Publish();
+  site.Pass(seconds(4));
+  const steer_decision next = site.Data(1, placed.cookie, 1, 1);
+  cr_assert_eq(next.verdict, steer_verdict::kForward);
+  cr_assert_eq(next.server, placed.server);
+  cr_assert_neq(site.Open(2).server, placed.server);
+}
+
+Test(flow_steering, a_server_that_answers_again_is_used_again) {
+  steering_site site;
+  const backend_server_id silent = SilenceServerOf(site, 1);
+  site.steering.OnServerChecked(site.now, silent, true);
+  site.Data(1, site.Cookie(silent.Value()), 101, 900);
+  bool used = false;
+  for (uint16_t port = 20; port < 60; ++port) {
+    used = used || site.OpenAndAnswer(port).server == silent;
+  }
+  cr_assert(used);
+}
+
+Test(flow_steering, draining_withdrawn_and_cold_servers_get_nothing_new) {
+  steering_site site;
+  site.known.servers["1"].state = server_state::kDraining;
+  site.known.servers["2"].cold_until = site.now + seconds(60);
+  site.known.withdrawn_domains = {"b"};
+  site.Publish();
+  cr_assert_eq(site.Open(1).verdict, steer_verdict::kReset);
+  site.known.withdrawn_domains.clear();
+  site.Publish();
+  cr_assert_eq(site.Open(2).server.Value() > 2, true);
+}
+
+Test(flow_steering, only_the_owner_warms_up_a_cold_server_one_flow_at_a_time) {
+  steering_site site;
+  for (auto& [name, server] : site.known.servers) {
+    server.cold_until = site.now + seconds(60);
+  }
+  site.Publish();
+  cr_assert_eq(site.Open(1).verdict, steer_verdict::kReset);
+  site.owns_cold = true;
+  std::map<uint64_t, int> flows;
+  for (uint16_t port = 10; port < 110; ++port) {
+    const steer_decision placed = site.Open(port);
+    if (placed.verdict == steer_verdict::kForward) {
+      ++flows[placed.server.Value()];
+      site.Answer(port, placed.cookie);
+    }
+    site.now += milliseconds(10);
+    site.steering.OnConfirmed(site.now);
+  }
+  for (const auto& [id, count] : flows) cr_assert_leq(count, 4);
+}
+
+Test(flow_steering, refuses_at_once_only_what_it_knows_for_certain) {
+  steering_site site;
+  const endpoint unknown = endpoint::Parse("198.18.0.9:1");
+  cr_assert_eq(site.Open(1, 0, unknown).verdict, steer_verdict::kReset);
+  site.now += seconds(3);  // The catalog is old now: the route may be new.
+  cr_assert_eq(site.Open(2, 0, unknown).verdict, steer_verdict::kDrop);
+}
+
+Test(flow_steering, places_nothing_after_a_pause_until_the_catalog_is_fresh) {
+  steering_site site;
+  site.now += seconds(5);
+  site.steering.OnPause(site.now, milliseconds(800));
+  cr_assert_eq(site.Open(1).verdict, steer_verdict::kDrop);
+  // Open flows go on.
+  cr_assert_eq(site.Data(2, site.Cookie(1), 1, 1).verdict,
+               steer_verdict::kForward);
+  site.now += milliseconds(100);
+  site.steering.OnConfirmed(site.now);
+  cr_assert_eq(site.Open(1, 1).verdict, steer_verdict::kForward);
+  // Without a store it serves what it can.
+  site.steering.OnPause(site.now, milliseconds(800));
+  site.now += milliseconds(900);
+  cr_assert_eq(site.Open(3).verdict, steer_verdict::kForward);
+}
+
+Test(flow_steering, an_unknown_cookie_is_dropped_until_all_is_settled) {
+  steering_site site;
+  cr_assert_eq(site.Data(1, 0xdeadbeef, 1, 1).verdict, steer_verdict::kDrop);
+  site.Pass(seconds(4));
+  cr_assert_eq(site.Data(1, 0xdeadbeef, 1, 1).verdict, steer_verdict::kReset);
+}
+
+Test(flow_steering, cannot_serve_when_every_server_is_silent) {
+  steering_site site;
+  cr_assert(site.steering.CanServe());
+  for (uint16_t port = 1; port <= 60 && site.steering.CanServe(); ++port) {
+    site.Open(port);
+    site.Pass(milliseconds(100));
+  }
+  cr_assert_not(site.steering.CanServe());
+}
