Ask the store less: list once at a start, gather changes, follow one a domain

A test of the fleet in virtual time also found followers that took a watch which the store never answered for current: what a peer knows 250 ms longer now makes them fetch it and watch anew.

--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -25,7 +25,14 @@
         actions_(std::move(actions)),
         last_call_(kCallsPerCollection * (1 + static_cast<uint64_t>(what))) {}
 
+  void Load() {
+    if (phase_ != follow_phase::kStopped) return;
+    pause_ = settings_.first_pause;
+    CallAgain();
+  }
+
   void Follow(store_revision known) {
+    is_following_ = true;
     if (phase_ != follow_phase::kStopped) return;
     revision_ = known;
     pause_ = settings_.first_pause;
@@ -33,12 +40,19 @@
   }
 
   void Stop() {
+    is_following_ = false;
     phase_ = follow_phase::kStopped;
     awaited_ = 0;
   }
 
+  void Rewatch(store_revision known) {
+    if (phase_ != follow_phase::kWatching) return;
+    revision_ = std::max(revision_, known);
+    Watch();
+  }
+
   void Restart() {
-    if (phase_ == follow_phase::kStopped) return;
+    if (!is_following_) return;
     revision_ = 0;
     confirmed_at_ = time_point{};
     CallAgain();
@@ -66,7 +80,7 @@
     if (phase_ == follow_phase::kPausing && now >= resume_at_) CallAgain();
   }
 
-  bool IsFollowing() const { return phase_ != follow_phase::kStopped; }
+  bool IsFollowing() const { return is_following_; }
   bool Awaits(uint64_t id) const { return awaited_ != 0 && id == awaited_; }
 
   time_point ConfirmedAt(time_point now) const {
@@ -121,16 +135,17 @@
     revision_ = first_page_revision_;
     confirmed_at_ = now;
     actions_.replaced(revision_, std::exchange(listed_, {}));
+    if (!is_following_) return Stop();
     Watch();
   }
 
   void OnEvents(time_point now, store_reply reply) {
     confirmed_at_ = now;
     revision_ = std::max(revision_, reply.revision);
-    if (!reply.objects.empty()) {
-      actions_.changed(revision_, std::move(reply.objects));
-    }
-    Watch();
+    if (reply.objects.empty()) return Watch();
+    phase_ = follow_phase::kPausing;
+    resume_at_ = now + settings_.gather_time;
+    actions_.changed(revision_, std::move(reply.objects));
   }
 
   void OnFailure(time_point now, store_status status) {
@@ -159,6 +174,8 @@
   random_source random_;
   const hooks actions_;
   follow_phase phase_ = follow_phase::kStopped;
+  /// Watches once everything is listed.
+  bool is_following_ = false;
   /// What is known; 0 for nothing.
   store_revision revision_ = 0;
   store_revision first_page_revision_ = 0;
@@ -178,6 +195,8 @@
     : impl_(
           std::make_unique<impl>(what, settings, random, std::move(actions))) {}
 store_follower::~store_follower() = default;
+void store_follower::Load() { impl_->Load(); }
+void store_follower::Rewatch(store_revision known) { impl_->Rewatch(known); }
 void store_follower::Follow(store_revision known) { impl_->Follow(known); }
 void store_follower::Stop() { impl_->Stop(); }
 void store_follower::Restart() { impl_->Restart(); }
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -20,6 +20,10 @@
   duration lost_wait = std::chrono::milliseconds(50);
   /// Longest wait for an answer beyond `watch_wait`.
   duration call_timeout = std::chrono::milliseconds(1200);
+  /// Pause after a watch that told something: changes come in bursts, and what
+  /// comes meanwhile is told by one call. Small against the seconds in which
+  /// changes must be in force.
+  duration gather_time = std::chrono::milliseconds(300);
   /// Pause after a failed call; doubles up to `longest_pause`. Every call has
   /// its price, refused ones too.
   duration first_pause = std::chrono::milliseconds(150);
@@ -42,6 +46,8 @@
                  random_source random, hooks actions);
   ~store_follower();
 
+  /// Lists the collection once, until the store has answered.
+  void Load();
   /// Follows from now on. `known` is the revision of what a peer has handed
   /// over, or 0 to list everything.
   void Follow(store_revision known);
@@ -49,6 +55,9 @@
   void Stop();
   /// Drops the call under way and lists anew, e.g. after a pause.
   void Restart();
+  /// Drops the watch under way, which has missed what a peer knows, and goes on
+  /// from `known`.
+  void Rewatch(store_revision known);
 
   void OnReply(time_point now, store_reply reply);
   void OnTick(time_point now);
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -43,7 +43,7 @@
   void Start(time_point now) {
     last_tick_ = now;
     peers_.Start(now);
-    UpdateFollowing(now);
+    for (const auto& follower : followers_) follower->Load();
     SendRound(now);
   }
 
@@ -265,19 +265,36 @@
     for (const collection what : kAllCollections) {
       if (fetching_[Index(what)]) continue;
       const auto peer = peers_.NewerThan(what, replica_.Revision(what));
-      if (!peer) continue;
-      // A follower hears it from the store itself, unless the store is away.
-      const store_follower& follower = *followers_[Index(what)];
-      if (follower.IsFollowing() &&
-          now - follower.ConfirmedAt(now) < kOwnAnswerTime) {
+      if (!peer) {
+        behind_since_[Index(what)] = kNever;
         continue;
       }
+      if (IsHeardSoon(now, what)) continue;
       fetching_[Index(what)] = true;
       fetches_.Add();
       actions_.fetch(*peer, what);
     }
   }
 
+  /// True if the store itself will tell what a peer knows already. A watch that
+  /// does not is one whose connection has gone silent.
+  bool IsHeardSoon(time_point now, collection what) {
+    store_follower& follower = *followers_[Index(what)];
+    if (!follower.IsFollowing() ||
+        now - follower.ConfirmedAt(now) >= kOwnAnswerTime) {
+      return false;
+    }
+    time_point& since = behind_since_[Index(what)];
+    if (since == kNever) since = now;
+    if (now - since < settings_.watch_lag) return true;
+    since = kNever;
+    actions_.log(log_record("watch_overtaken", log_level::kWarning)
+                     .With("collection", NameOf(what))
+                     .With("revision", replica_.Revision(what)));
+    follower.Rewatch(replica_.Revision(what));
+    return false;
+  }
+
   peer_digest MakeDigest(time_point now) {
     peer_digest digest;
     digest.sender = settings_.peers.self;
@@ -331,6 +348,8 @@
   metric& fetches_;
   metric& digest_bytes_;
   std::array<bool, kCollections> fetching_{};
+  /// Since when a peer knows more than the own watch has told.
+  std::array<time_point, kCollections> behind_since_ = {kNever, kNever, kNever};
   bool is_stopping_ = false;
   /// Time of the event under way, for hooks that are called within it.
   time_point now_{};
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -18,6 +18,9 @@
   steering_settings steering;
   follower_settings follower;
   peer_view_settings peers;
+  /// How long a watch may lack what another instance knows already; an answer
+  /// takes some milliseconds.
+  duration watch_lag = std::chrono::milliseconds(250);
   /// Time between digests to other instances.
   duration digest_interval = std::chrono::milliseconds(250);
   /// A timer that is later than this means that packets waited too.
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -57,6 +57,9 @@
   cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
   store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
   cr_assert_eq(store.changed.at(0), 44u);
+  // Changes come in bursts: one call tells what follows closely.
+  cr_assert_eq(store.calls.size(), 1u);
+  store.follower.OnTick(kStart + milliseconds(400));
   cr_assert_eq(store.calls.back().revision, 44u);
 }
 
--- /dev/null
+++ b/unit_tests/steering/entry_fleet.h
@@ -0,0 +1,291 @@
+// A fleet of cookie-steering instances in virtual time, with a store and a
+// network that the test can break.
+#ifndef POPLARSTAIR_UNIT_TESTS_STEERING_ENTRY_FLEET_H_
+#define POPLARSTAIR_UNIT_TESTS_STEERING_ENTRY_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "poplarstair/steering/entry_instance.h"
+#include "poplarstair/testing/event_queue.h"
+
+namespace poplarstair {
+
+/// The store: answers lists and watches from its history.
+class catalog_store_fake {
+ public:
+  void Put(collection what, const std::string& name, object_content content) {
+    Append(what, {name, false, std::move(content)});
+  }
+  void Delete(collection what, const std::string& name) {
+    Append(what, {name, true, {}});
+  }
+
+  store_revision Revision() const { return revision_; }
+
+  store_reply List(const store_request& request) const {
+    store_reply reply{request.id, store_status::kOk, revision_, {}, false};
+    for (const auto& [key, object] : objects_) {
+      if (key.first == request.what) reply.objects.push_back(object);
+    }
+    return reply;
+  }
+
+  /// Empty if nothing has changed since the request's revision.
+  store_reply Changes(const store_request& request) const {
+    store_reply reply{request.id, store_status::kOk, revision_, {}, false};
+    for (const change& c : history_) {
+      if (c.what != request.what) continue;
+      if (c.revision > request.revision) {
+        reply.objects.push_back(c.object);
+      }
+    }
+    return reply;
+  }
+
+  /// Called after each change.
+  std::function<void()> changed;
+
+ private:
+  struct change {
+    store_revision revision;
+    collection what;
+    store_object object;
+  };
+
+  void Append(collection what, const store_object& object) {
+    history_.push_back({++revision_, what, object});
+    const std::pair key(what, object.name);
+    if (object.is_deleted) {
+      objects_.erase(key);
+    } else {
+      objects_[key] = object;
+    }
+    if (changed) changed();
+  }
+
+  store_revision revision_ = 10;
+  std::map<std::pair<collection, std::string>, store_object> objects_;
+  std::vector<change> history_;
+};
+
+class entry_fleet {
+ public:
+  entry_fleet(size_t instances, size_t domains, uint64_t seed)
+      : domains_(domains), random_(seed) {
+    store.changed = [this] { AnswerWatches(); };
+    SetRoutes(1);
+    SetServer(1, server_state::kReady);
+    for (size_t i = 0; i < instances; ++i) Add(i);
+  }
+
+  void SetRoutes(uint64_t version) {
+    route_table table;
+    table.version = version;
+    service_route route;
+    route.address = endpoint::Parse("198.18.0.1:443");
+    route.services = {{"s", 1}};
+    table.routes = {route};
+    table.services = {{"s", 0, 0}};
+    store.Put(collection::kRoutes, "main", table);
+  }
+
+  void SetServer(uint64_t id, server_state state) {
+    server_entry server;
+    server.id = backend_server_id(id);
+    server.service = "s";
+    server.address = endpoint::Parse("10.9.0.1:80");
+    server.failure_domain = "d0";
+    server.state = state;
+    store.Put(collection::kServers, "i-" + std::to_string(id), server);
+  }
+
+  /// Starts instance `i`, or starts it anew.
+  void Add(size_t i) {
+    auto& slot = nodes_[i];
+    slot = std::make_unique<node>();
+    slot->index = i;
+    entry_settings settings;
+    settings.steering.failure_domain = DomainOf(i);
+    settings.peers.self = AddressOf(i);
+    settings.peers.failure_domain = DomainOf(i);
+    settings.peers.seeds = {AddressOf(0), AddressOf(1), AddressOf(2)};
+    slot->instance = std::make_unique<entry_instance>(
+        settings, ++last_life_, random_source(random_()), slot->metrics,
+        HooksOf(i));
+    slot->instance->Start(queue.Now());
+    Tick(i, slot.get());
+  }
+  void Kill(size_t i) { nodes_[i].reset(); }
+
+  void RunFor(duration length) { queue.RunFor(length); }
+
+  nlohmann::json State(size_t i) const {
+    return nlohmann::json::parse(
+        nodes_.at(i)->instance->StateJson(queue.Now()));
+  }
+  bool Knows(size_t i, uint64_t version) const {
+    return State(i)["routes_version"] == version;
+  }
+  bool Follows(size_t i) const { return State(i)["follows_store"]; }
+  size_t Followers() const {
+    size_t count = 0;
+    for (const auto& [i, n] : nodes_) {
+      if (n && Follows(i)) ++count;
+    }
+    return count;
+  }
+  /// Instances that run and don't have the routes in this version.
+  size_t Behind(uint64_t version) const {
+    size_t count = 0;
+    for (const auto& [i, n] : nodes_) {
+      if (n && !Knows(i, version)) ++count;
+    }
+    return count;
+  }
+  std::string DomainOf(size_t i) const {
+    return "d" + std::to_string(i % domains_);
+  }
+
+  event_queue queue;
+  catalog_store_fake store;
+  bool is_store_down = false;
+  /// Instances that the store turns away.
+  std::set<size_t> refused;
+  /// True if no message passes between two instances.
+  std::function<bool(size_t, size_t)> is_cut = [](size_t, size_t) {
+    return false;
+  };
+  size_t store_calls = 0;
+  size_t digest_bytes = 0;
+
+ private:
+  struct node {
+    size_t index = 0;
+    metric_registry metrics;
+    std::unique_ptr<entry_instance> instance;
+  };
+  struct waiting_watch {
+    size_t index;
+    node* owner;
+    store_request request;
+  };
+
+  static constexpr duration kDelay = std::chrono::milliseconds(2);
+
+  static endpoint AddressOf(size_t i) {
+    return {ip_address::FromV4(0x0a010000U + static_cast<uint32_t>(i)), 8166};
+  }
+  static size_t IndexOf(const endpoint& e) { return e.address.V4() & 0xffffU; }
+
+  /// Runs `work` on instance `i` after the network's delay, if it is still the
+  /// same life.
+  void Later(size_t i, const node* owner, duration delay,
+             std::function<void(entry_instance&)> work) {
+    queue.After(delay, [this, i, owner, work = std::move(work)] {
+      const auto it = nodes_.find(i);
+      if (it == nodes_.end() || it->second.get() != owner) return;
+      work(*it->second->instance);
+    });
+  }
+
+  void Tick(size_t i, const node* owner) {
+    Later(i, owner, entry_instance::kTickInterval,
+          [this, i, owner](entry_instance& instance) {
+            instance.OnTick(queue.Now());
+            Tick(i, owner);
+          });
+  }
+
+  entry_instance::hooks HooksOf(size_t i) {
+    entry_instance::hooks hooks;
+    hooks.log = [](const log_record&) {};
+    hooks.call_store = [this, i](const store_request& r) { CallStore(i, r); };
+    hooks.send_digest = [this, i](const endpoint& peer, std::string bytes) {
+      digest_bytes += bytes.size();
+      const size_t to = IndexOf(peer);
+      if (!nodes_[to] || is_cut(i, to)) return;
+      Later(to, nodes_[to].get(), kDelay,
+            [this, bytes = std::move(bytes)](entry_instance& instance) {
+              instance.OnDigest(queue.Now(), bytes);
+            });
+    };
+    hooks.fetch = [this, i](const endpoint& peer, collection what) {
+      const size_t from = IndexOf(peer);
+      std::string exported;
+      if (nodes_[from] && !is_cut(i, from)) {
+        exported = nodes_[from]->instance->ExportCollection(queue.Now(), what);
+      }
+      const duration delay =
+          exported.empty() ? std::chrono::milliseconds(400) : 2 * kDelay;
+      Later(i, nodes_[i].get(), delay,
+            [this, peer, what, exported](entry_instance& instance) {
+              instance.OnFetched(queue.Now(), peer, what, exported);
+            });
+    };
+    hooks.check_server = [](backend_server_id, const endpoint&) {};
+    hooks.send_again = [](std::span<const uint8_t>, const steer_decision&) {};
+    return hooks;
+  }
+
+  void CallStore(size_t i, const store_request& request) {
+    ++store_calls;
+    const node* owner = nodes_[i].get();
+    if (is_store_down) {
+      return Answer(i, owner, request.timeout,
+                    {request.id, store_status::kNoAnswer, 0, {}, false});
+    }
+    if (refused.contains(i)) {
+      return Answer(i, owner, kDelay,
+                    {request.id, store_status::kUnavailable, 0, {}, false});
+    }
+    if (request.operation == store_operation::kList) {
+      return Answer(i, owner, kDelay, store.List(request));
+    }
+    const store_reply changes = store.Changes(request);
+    if (!changes.objects.empty()) return Answer(i, owner, kDelay, changes);
+    watches_.push_back({i, nodes_[i].get(), request});
+    Later(i, owner, request.wait,
+          [this, i, id = request.id](entry_instance&) { EndWatch(i, id); });
+  }
+
+  void Answer(size_t i, const node* owner, duration delay, store_reply reply) {
+    Later(i, owner, delay,
+          [this, reply = std::move(reply)](entry_instance& instance) {
+            instance.OnStoreReply(queue.Now(), reply);
+          });
+  }
+
+  void EndWatch(size_t i, uint64_t id) {
+    std::erase_if(watches_, [&](const waiting_watch& w) {
+      if (w.index != i || w.request.id != id) return false;
+      Answer(w.index, w.owner, kDelay, store.Changes(w.request));
+      return true;
+    });
+  }
+
+  void AnswerWatches() {
+    if (is_store_down) return;
+    std::erase_if(watches_, [&](const waiting_watch& w) {
+      const store_reply changes = store.Changes(w.request);
+      if (changes.objects.empty() || refused.contains(w.index)) return false;
+      Answer(w.index, w.owner, kDelay, changes);
+      return true;
+    });
+  }
+
+  const size_t domains_;
+  random_source random_;
+  incarnation last_life_ = 100;
+  std::map<size_t, std::unique_ptr<node>> nodes_;
+  std::vector<waiting_watch> watches_;
+};
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_UNIT_TESTS_STEERING_ENTRY_FLEET_H_
--- /dev/null
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -0,0 +1,122 @@
+#include "poplarstair/steering/entry_instance.h"
+
+#include <criterion/criterion.h>
+
+#include "unit_tests/steering/entry_fleet.h"
+
+using namespace poplarstair;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr size_t kInstances = 24;
+constexpr size_t kDomains = 3;
+
+/// A change made now is in force at every instance within `limit`.
+void ExpectInForce(entry_fleet& fleet, uint64_t version, duration limit) {
+  fleet.SetRoutes(version);
+  fleet.RunFor(limit);
+  cr_assert_eq(fleet.Behind(version), 0u, "%zu instances lack version %zu",
+               fleet.Behind(version), static_cast<size_t>(version));
+}
+
+}  // namespace
+
+Test(entry_instance, one_instance_of_each_domain_follows_the_store) {
+  entry_fleet fleet(kInstances, kDomains, 1);
+  fleet.RunFor(seconds(6));
+  cr_assert_eq(fleet.Behind(1), 0u);
+  cr_assert_leq(fleet.Followers(), kDomains + 1);
+  const size_t calls = fleet.store_calls;
+  fleet.RunFor(seconds(30));
+  // Three collections, a call every five seconds, a follower a domain; twice
+  // that is allowed for changes of the follower.
+  cr_assert_leq(fleet.store_calls - calls, 2 * 3 * 6 * kDomains);
+}
+
+Test(entry_instance, a_change_reaches_every_instance_at_once) {
+  entry_fleet fleet(kInstances, kDomains, 2);
+  fleet.RunFor(seconds(6));
+  ExpectInForce(fleet, 2, milliseconds(100));
+  // Changes that follow closely are gathered for 300 ms.
+  for (uint64_t version = 3; version < 12; ++version) {
+    ExpectInForce(fleet, version, milliseconds(450));
+  }
+}
+
+Test(entry_instance, another_instance_takes_over_when_the_follower_is_killed) {
+  entry_fleet fleet(kInstances, kDomains, 3);
+  fleet.RunFor(seconds(6));
+  for (size_t i = 0; i < kInstances; ++i) {
+    if (fleet.Follows(i)) fleet.Kill(i);
+  }
+  ExpectInForce(fleet, 2, milliseconds(2800));
+}
+
+Test(entry_instance, instances_that_the_store_turns_away_learn_from_others) {
+  entry_fleet fleet(kInstances, kDomains, 4);
+  fleet.RunFor(seconds(6));
+  for (size_t i = 0; i < kInstances; ++i) {
+    if (i % 3 == 0 || fleet.Follows(i)) fleet.refused.insert(i);
+  }
+  ExpectInForce(fleet, 2, seconds(8));
+  ExpectInForce(fleet, 3, milliseconds(2800));
+}
+
+Test(entry_instance, starts_while_the_store_is_away) {
+  entry_fleet fleet(kInstances, kDomains, 5);
+  fleet.RunFor(seconds(6));
+  fleet.is_store_down = true;
+  fleet.Kill(7);
+  fleet.Add(7);
+  fleet.RunFor(milliseconds(500));
+  cr_assert(fleet.Knows(7, 1));
+}
+
+Test(entry_instance, hears_of_the_stores_return_within_two_seconds) {
+  entry_fleet fleet(kInstances, kDomains, 6);
+  fleet.RunFor(seconds(6));
+  fleet.is_store_down = true;
+  fleet.RunFor(seconds(9));
+  fleet.SetRoutes(2);
+  fleet.is_store_down = false;
+  fleet.RunFor(milliseconds(2800));
+  cr_assert_eq(fleet.Behind(2), 0u);
+}
+
+Test(entry_instance, each_domain_follows_the_store_while_cut_from_the_others) {
+  entry_fleet fleet(kInstances, kDomains, 7);
+  fleet.RunFor(seconds(6));
+  fleet.is_cut = [](size_t a, size_t b) { return a % kDomains != b % kDomains; };
+  ExpectInForce(fleet, 2, milliseconds(2800));
+  fleet.RunFor(seconds(10));
+  ExpectInForce(fleet, 3, milliseconds(2800));
+}
+
+Test(entry_instance, an_instance_that_is_alone_asks_the_store_itself) {
+  entry_fleet fleet(kInstances, kDomains, 8);
+  fleet.RunFor(seconds(6));
+  fleet.is_cut = [](size_t a, size_t b) { return a == 5 || b == 5; };
+  fleet.RunFor(seconds(4));
+  ExpectInForce(fleet, 2, milliseconds(500));
+  cr_assert(fleet.Follows(5));
+}
+
+Test(entry_instance, all_start_at_once_and_know_all_within_a_second) {
+  entry_fleet fleet(kInstances, kDomains, 9);
+  fleet.RunFor(seconds(6));
+  for (size_t i = 0; i < kInstances; ++i) fleet.Add(i);
+  fleet.RunFor(milliseconds(200));
+  cr_assert_eq(fleet.Behind(1), 0u);
+}
+
+Test(entry_instance, digests_stay_within_the_control_budget) {
+  entry_fleet fleet(kInstances, kDomains, 10);
+  fleet.RunFor(seconds(6));
+  const size_t before = fleet.digest_bytes;
+  fleet.RunFor(seconds(10));
+  // The target allows 16 KB/s for all control traffic of an instance; digests
+  // without reports may take a quarter of it.
+  cr_assert_leq((fleet.digest_bytes - before) / 10 / kInstances, 8'192u / 2);
+}
