Let instances tell each other what is news, step by step

Changes are now told on in steps of four, routes are sent as profiles (9 bytes a route instead of 60), and a reset needs the evidence of a second instance. A domain without seeds did not find itself, so 20 instances followed the store.

--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -108,6 +108,12 @@
   /// Independent observations that it answers nobody: flows seen here and
   /// other instances.
   uint32_t Witnesses(uint32_t row) const;
+  /// Callers of this instance have repeated packets to it in vain.
+  bool HasOwnRepeats(uint32_t row) const { return rows_[row].repeats > 0; }
+  /// Other instances whose callers wait for it in vain.
+  uint32_t PeerWitnesses(uint32_t row) const {
+    return rows_[row].peer_witnesses;
+  }
   time_point LastProgress(uint32_t row) const {
     return rows_[row].last_progress;
   }
--- a/poplarstair/catalog/catalog.h
+++ b/poplarstair/catalog/catalog.h
@@ -18,6 +18,10 @@
 /// Number of the store's whole state; grows with each change of any object.
 using store_revision = uint64_t;
 
+/// Identifies the content of a collection, however it was learnt: two states
+/// with the same digest are the same.
+using content_digest = uint64_t;
+
 /// The collections that an instance follows.
 enum class collection : uint8_t { kRoutes, kServers, kWithdrawals };
 inline constexpr size_t kCollections = 3;
--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -1,8 +1,11 @@
 #include "poplarstair/catalog/catalog_replica.h"
 
 #include <algorithm>
+#include <compare>
+#include <map>
 
 #include "poplarstair/core/codec.h"
+#include "poplarstair/core/hash.h"
 
 namespace poplarstair {
 
@@ -11,16 +14,26 @@
 // The fields on the wire between instances. Times are sent as what is left of
 // them, since no two instances share a clock.
 
-struct route_fields {
-  std::string address;
+/// What many routes have in common; sent once.
+struct route_profile_fields {
   std::vector<std::string> services;
   std::vector<uint32_t> weights;
   uint8_t kind = 0;
   int64_t timeout_us = 0;
   int64_t latency_target_us = 0;
   uint32_t priority = 0;
-  MSGPACK_DEFINE(address, services, weights, kind, timeout_us,
-                 latency_target_us, priority)
+  MSGPACK_DEFINE(services, weights, kind, timeout_us, latency_target_us,
+                 priority)
+
+  friend auto operator<=>(const route_profile_fields&,
+                          const route_profile_fields&) = default;
+};
+
+struct route_fields {
+  std::string address;
+  /// Index of the profile.
+  uint32_t profile = 0;
+  MSGPACK_DEFINE(address, profile)
 };
 
 struct limits_fields {
@@ -44,17 +57,26 @@
                  cold_left_us, born_ms)
 };
 
+struct object_fields {
+  std::string name;
+  store_revision revision = 0;
+  MSGPACK_DEFINE(name, revision)
+};
+
 /// One collection; the fields of the others stay empty.
 struct collection_fields {
   store_revision revision = 0;
   uint64_t version = 0;
   int64_t idle_timeout_us = 0;
+  std::vector<route_profile_fields> profiles;
   std::vector<route_fields> routes;
   std::vector<limits_fields> services;
   std::vector<server_fields> servers;
   std::vector<std::string> withdrawn_domains;
-  MSGPACK_DEFINE(revision, version, idle_timeout_us, routes, services, servers,
-                 withdrawn_domains)
+  /// Every object of the collection, also those that name nothing to use.
+  std::vector<object_fields> objects;
+  MSGPACK_DEFINE(revision, version, idle_timeout_us, profiles, routes, services,
+                 servers, withdrawn_domains, objects)
 };
 
 template <typename Enum>
@@ -65,9 +87,8 @@
   return static_cast<Enum>(value);
 }
 
-route_fields PackRoute(const service_route& route) {
-  route_fields fields;
-  fields.address = route.address.Pack();
+route_profile_fields ProfileOf(const service_route& route) {
+  route_profile_fields fields;
   for (const weighted_service& s : route.services) {
     fields.services.push_back(s.service);
     fields.weights.push_back(s.weight);
@@ -79,12 +100,26 @@
   return fields;
 }
 
-service_route UnpackRoute(const route_fields& fields) {
+void PackRoutes(const route_table& table, collection_fields& fields) {
+  fields.version = table.version;
+  fields.idle_timeout_us = table.idle_timeout.count();
+  std::map<route_profile_fields, uint32_t> known;
+  for (const service_route& route : table.routes) {
+    const auto next = static_cast<uint32_t>(fields.profiles.size());
+    const auto [it, is_new] = known.try_emplace(ProfileOf(route), next);
+    if (is_new) fields.profiles.push_back(it->first);
+    fields.routes.push_back({route.address.Pack(), it->second});
+  }
+  for (const service_limits& s : table.services) {
+    fields.services.push_back({s.name, s.cold_flows_per_second, s.max_flows});
+  }
+}
+
+service_route UnpackProfile(const route_profile_fields& fields) {
   if (fields.services.size() != fields.weights.size()) {
     throw malformed_message("catalog", "services and weights of a route");
   }
   service_route route;
-  route.address = endpoint::Unpack(fields.address);
   for (size_t i = 0; i < fields.services.size(); ++i) {
     route.services.push_back({fields.services[i], fields.weights[i]});
   }
@@ -95,6 +130,27 @@
   return route;
 }
 
+route_table UnpackRoutes(const collection_fields& fields) {
+  route_table table;
+  table.version = fields.version;
+  table.idle_timeout = duration(fields.idle_timeout_us);
+  std::vector<service_route> profiles;
+  for (const route_profile_fields& p : fields.profiles) {
+    profiles.push_back(UnpackProfile(p));
+  }
+  for (const route_fields& r : fields.routes) {
+    if (r.profile >= profiles.size()) {
+      throw malformed_message("catalog", "profile of a route");
+    }
+    table.routes.push_back(profiles[r.profile]);
+    table.routes.back().address = endpoint::Unpack(r.address);
+  }
+  for (const limits_fields& s : fields.services) {
+    table.services.push_back({s.name, s.cold_flows_per_second, s.max_flows});
+  }
+  return table;
+}
+
 server_fields PackServer(time_point now, const std::string& name,
                          const server_entry& server) {
   const duration cold_left =
@@ -137,6 +193,7 @@
   if (revision < Revision(what)) return false;
   if (what == collection::kServers) catalog_.servers.clear();
   if (what == collection::kWithdrawals) catalog_.withdrawn_domains.clear();
+  ClearObjects(what);
   for (const store_object& object : objects) Apply(what, object);
   SetRevision(what, revision);
   return true;
@@ -151,8 +208,39 @@
   return true;
 }
 
+void catalog_replica::Raise(collection what, store_revision revision) {
+  if (Revision(what) != 0 && revision > Revision(what)) {
+    SetRevision(what, revision);
+  }
+}
+
+void catalog_replica::SetObject(collection what, const std::string& name,
+                                store_revision revision) {
+  auto& objects = objects_[static_cast<size_t>(what)];
+  content_digest& digest = digests_[static_cast<size_t>(what)];
+  const uint64_t key = HashBytes(name);
+  const auto it = objects.find(name);
+  if (it != objects.end()) {
+    digest ^= HashCombine(key, it->second);
+    objects.erase(it);
+  }
+  if (revision == 0) return;
+  digest ^= HashCombine(key, revision);
+  objects[name] = revision;
+}
+
+void catalog_replica::ClearObjects(collection what) {
+  objects_[static_cast<size_t>(what)].clear();
+  digests_[static_cast<size_t>(what)] = 0;
+}
+
 void catalog_replica::Apply(collection what, const store_object& object) {
+  SetObject(what, object.name, object.is_deleted ? 0 : object.revision);
   if (object.is_deleted) return Erase(what, object.name);
+  Take(what, object);
+}
+
+void catalog_replica::Take(collection what, const store_object& object) {
   if (const auto* bad = std::get_if<unreadable_object>(&object.content)) {
     log_(log_record("store_object_unreadable", log_level::kWarning)
              .With("collection", NameOf(what))
@@ -214,17 +302,12 @@
 std::string catalog_replica::Export(time_point now, collection what) const {
   collection_fields fields;
   fields.revision = Revision(what);
+  for (const auto& [name, revision] : objects_[static_cast<size_t>(what)]) {
+    fields.objects.push_back({name, revision});
+  }
   switch (what) {
     case collection::kRoutes:
-      fields.version = catalog_.routes.version;
-      fields.idle_timeout_us = catalog_.routes.idle_timeout.count();
-      for (const service_route& route : catalog_.routes.routes) {
-        fields.routes.push_back(PackRoute(route));
-      }
-      for (const service_limits& s : catalog_.routes.services) {
-        fields.services.push_back(
-            {s.name, s.cold_flows_per_second, s.max_flows});
-      }
+      PackRoutes(catalog_.routes, fields);
       break;
     case collection::kServers:
       for (const auto& [name, server] : catalog_.servers) {
@@ -243,20 +326,9 @@
   const auto fields = DecodeMessage<collection_fields>(exported);
   if (fields.revision <= Revision(what)) return false;
   switch (what) {
-    case collection::kRoutes: {
-      route_table routes;
-      routes.version = fields.version;
-      routes.idle_timeout = duration(fields.idle_timeout_us);
-      for (const route_fields& r : fields.routes) {
-        routes.routes.push_back(UnpackRoute(r));
-      }
-      for (const limits_fields& s : fields.services) {
-        routes.services.push_back(
-            {s.name, s.cold_flows_per_second, s.max_flows});
-      }
-      if (!TakeRoutes(routes)) return false;
+    case collection::kRoutes:
+      if (!TakeRoutes(UnpackRoutes(fields))) return false;
       break;
-    }
     case collection::kServers: {
       std::map<std::string, server_entry> servers;
       for (const server_fields& s : fields.servers) {
@@ -269,6 +341,10 @@
       catalog_.withdrawn_domains = fields.withdrawn_domains;
       break;
   }
+  ClearObjects(what);
+  for (const object_fields& o : fields.objects) {
+    SetObject(what, o.name, o.revision);
+  }
   SetRevision(what, fields.revision);
   return true;
 }
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -3,6 +3,7 @@
 #define POPLARSTAIR_CATALOG_CATALOG_REPLICA_H_
 
 #include <array>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,12 +40,24 @@
   store_revision Revision(collection what) const {
     return revisions_[static_cast<size_t>(what)];
   }
+  /// The same for the same content, whatever the revision that it was read at:
+  /// the store counts one revision for all its objects.
+  content_digest Digest(collection what) const {
+    return digests_[static_cast<size_t>(what)];
+  }
+  /// The content is also the state of this later revision.
+  void Raise(collection what, store_revision revision);
   /// True if every collection is known.
   bool IsComplete() const;
 
  private:
   void Apply(collection what, const store_object& object);
+  void Take(collection what, const store_object& object);
   void Erase(collection what, const std::string& name);
+  /// Notes an object's revision, 0 for one that is gone, in the digest.
+  void SetObject(collection what, const std::string& name,
+                 store_revision revision);
+  void ClearObjects(collection what);
   bool TakeRoutes(const route_table& routes);
   void SetRevision(collection what, store_revision revision) {
     revisions_[static_cast<size_t>(what)] = revision;
@@ -53,6 +66,9 @@
   const log_hook log_;
   catalog catalog_;
   std::array<store_revision, kCollections> revisions_{};
+  std::array<content_digest, kCollections> digests_{};
+  /// Revision of each object.
+  std::array<std::map<std::string, store_revision>, kCollections> objects_;
 };
 
 }  // namespace poplarstair
--- a/poplarstair/catalog/store_call.h
+++ b/poplarstair/catalog/store_call.h
@@ -52,6 +52,8 @@
   std::string name;
   bool is_deleted = false;
   object_content content;
+  /// Of its last change.
+  store_revision revision = 0;
 };
 
 enum class store_status : uint8_t {
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -81,8 +81,10 @@
                               digest.reports);
     }
     if (digest.is_joining && !is_stopping_) {
-      Send(digest.sender, EncodeDigest(MakeDigest(now)));
+      Send(digest.sender,
+           EncodeDigest(MakeDigest(now, digest.failure_domain)));
     }
+    RaiseRevisions(digest);
     FetchNewer(now);
     UpdateConfirmed(now);
   }
@@ -123,6 +125,7 @@
     now_ = now;
     NoteLateness(now);
     peers_.OnTick(now);
+    steering_.SetHasNeighbours(peers_.HasNeighbours());
     for (const auto& follower : followers_) follower->OnTick(now);
     UpdateConfirmed(now);
     UpdateFollowing(now);
@@ -133,8 +136,8 @@
 
   void OnStop(time_point now) {
     is_stopping_ = true;
-    const std::string bytes = EncodeDigest(MakeDigest(now));
-    for (const endpoint& peer : peers_.ChangeTargets()) Send(peer, bytes);
+    const std::string bytes = EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
+    for (const endpoint& peer : peers_.AllNeighbours()) Send(peer, bytes);
     for (const auto& follower : followers_) follower->Stop();
   }
 
@@ -171,6 +174,12 @@
   }
 
  private:
+  /// A state that a peer holds and this instance does not.
+  struct gap {
+    store_revision wanted = 0;
+    time_point since{};
+  };
+
   static size_t Index(collection what) { return static_cast<size_t>(what); }
 
   flow_steering::hooks SteeringHooks() {
@@ -207,12 +216,22 @@
     return result;
   }
 
-  std::array<store_revision, kCollections> Revisions() const {
-    std::array<store_revision, kCollections> revisions{};
+  peer_view::held_state State() const {
+    peer_view::held_state state;
+    for (const collection what : kAllCollections) {
+      state.revisions[Index(what)] = replica_.Revision(what);
+      state.contents[Index(what)] = replica_.Digest(what);
+    }
+    return state;
+  }
+
+  /// Equal content is also the state of the later of two revisions.
+  void RaiseRevisions(const peer_digest& digest) {
     for (const collection what : kAllCollections) {
-      revisions[Index(what)] = replica_.Revision(what);
+      if (digest.contents[Index(what)] == replica_.Digest(what)) {
+        replica_.Raise(what, digest.revisions[Index(what)]);
+      }
     }
-    return revisions;
   }
 
   /// Oldest confirmation over the collections, by the own calls alone.
@@ -228,16 +247,18 @@
     if (!replica_.IsComplete()) return;
     UpdateConfirmed(now);
     steering_.OnCatalog(now, replica_.Current());
-    if (!from_store) return;
-    // Instances that do not follow the store learn of the change here.
-    const std::string bytes = EncodeDigest(MakeDigest(now));
-    for (const endpoint& peer : peers_.ChangeTargets()) Send(peer, bytes);
+    // Instances that do not follow the store learn of the change here, one from
+    // the other. Other domains have followers of their own.
+    const std::string bytes = EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
+    for (const endpoint& peer : peers_.ChangeTargets(from_store)) {
+      Send(peer, bytes);
+    }
   }
 
   void UpdateConfirmed(time_point now) {
     if (!replica_.IsComplete()) return;
     const time_point before = confirmed_at_;
-    const time_point told = peers_.ConfirmedAt(Revisions());
+    const time_point told = peers_.ConfirmedAt(State());
     confirmed_at_ = std::max({before, OwnConfirmedAt(now), told});
     if (confirmed_at_ != before) steering_.OnConfirmed(confirmed_at_);
   }
@@ -264,30 +285,36 @@
   void FetchNewer(time_point now) {
     for (const collection what : kAllCollections) {
       if (fetching_[Index(what)]) continue;
-      const auto peer = peers_.NewerThan(what, replica_.Revision(what));
+      const auto peer = peers_.NewerThan(what, State());
       if (!peer) {
-        behind_since_[Index(what)] = kNever;
+        behind_[Index(what)] = {};
         continue;
       }
-      if (IsHeardSoon(now, what)) continue;
+      // In a stream of changes somebody is always a step ahead: only a state
+      // that stays unknown here counts.
+      gap& behind = behind_[Index(what)];
+      if (replica_.Revision(what) >= behind.wanted) {
+        behind = {peer->revision, now};
+      }
+      if (IsHeardSoon(now, what, peer->is_own_domain)) continue;
+      behind = {};
       fetching_[Index(what)] = true;
       fetches_.Add();
-      actions_.fetch(*peer, what);
+      actions_.fetch(peer->address, what);
     }
   }
 
-  /// True if the store itself will tell what a peer knows already. A watch that
-  /// does not is one whose connection has gone silent.
-  bool IsHeardSoon(time_point now, collection what) {
+  /// True if the store or the own domain will tell what a peer knows already.
+  bool IsHeardSoon(time_point now, collection what, bool is_own_domain) {
     store_follower& follower = *followers_[Index(what)];
+    const duration behind = now - behind_[Index(what)].since;
     if (!follower.IsFollowing() ||
         now - follower.ConfirmedAt(now) >= kOwnAnswerTime) {
-      return false;
+      return !is_own_domain && replica_.IsComplete() &&
+             behind < settings_.far_fetch_after;
     }
-    time_point& since = behind_since_[Index(what)];
-    if (since == kNever) since = now;
-    if (now - since < settings_.watch_lag) return true;
-    since = kNever;
+    if (behind < settings_.watch_lag) return true;
+    // The connection of a watch that lacks it has gone silent.
     actions_.log(log_record("watch_overtaken", log_level::kWarning)
                      .With("collection", NameOf(what))
                      .With("revision", replica_.Revision(what)));
@@ -295,7 +322,8 @@
     return false;
   }
 
-  peer_digest MakeDigest(time_point now) {
+  /// `named_domain` is the domain whose instances it names above all.
+  peer_digest MakeDigest(time_point now, const std::string& named_domain) {
     peer_digest digest;
     digest.sender = settings_.peers.self;
     digest.life = life_;
@@ -304,10 +332,12 @@
     digest.is_joining = peers_.IsJoining(now) && !is_stopping_;
     digest.is_following = followers_[0]->IsFollowing() &&
                           now - OwnConfirmedAt(now) < kOwnAnswerTime;
-    digest.revisions = Revisions();
+    const peer_view::held_state state = State();
+    digest.revisions = state.revisions;
+    digest.contents = state.contents;
     digest.age = now - confirmed_at_;
     digest.reports = steering_.Reports(now);
-    digest.peers = peers_.NamedPeers(now);
+    digest.peers = peers_.NamedPeers(now, named_domain);
     return digest;
   }
 
@@ -315,7 +345,7 @@
     next_round_ = now + settings_.digest_interval;
     const std::vector<endpoint> targets = peers_.RoundTargets(now);
     if (targets.empty()) return;
-    const std::string bytes = EncodeDigest(MakeDigest(now));
+    const std::string bytes = EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
     for (const endpoint& peer : targets) Send(peer, bytes);
   }
 
@@ -348,8 +378,7 @@
   metric& fetches_;
   metric& digest_bytes_;
   std::array<bool, kCollections> fetching_{};
-  /// Since when a peer knows more than the own watch has told.
-  std::array<time_point, kCollections> behind_since_ = {kNever, kNever, kNever};
+  std::array<gap, kCollections> behind_{};
   bool is_stopping_ = false;
   /// Time of the event under way, for hooks that are called within it.
   time_point now_{};
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -19,8 +19,12 @@
   follower_settings follower;
   peer_view_settings peers;
   /// How long a watch may lack what another instance knows already; an answer
-  /// takes some milliseconds.
-  duration watch_lag = std::chrono::milliseconds(250);
+  /// takes some milliseconds,
+  /// and changes are gathered before each call.
+  duration watch_lag = std::chrono::milliseconds(600);
+  /// How long an instance waits for its own domain before it fetches from
+  /// another one: bytes between domains are dear.
+  duration far_fetch_after = std::chrono::milliseconds(600);
   /// Time between digests to other instances.
   duration digest_interval = std::chrono::milliseconds(250);
   /// A timer that is later than this means that packets waited too.
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -146,6 +146,10 @@
     late_until_ = now + limit;
   }
 
+  void SetHasNeighbours(bool has_neighbours) {
+    has_neighbours_ = has_neighbours;
+  }
+
   void OnLate(time_point now) { late_until_ = now + settings_.late_grace; }
 
   void OnPeerReports(time_point now, uint64_t peer,
@@ -502,10 +506,13 @@
     if (record.kind != request_kind::kIdempotent) {
       return steer_reason::kOpenFlow;
     }
-    // Callers alone can't tell a lost server from packets lost on the way.
+    // Callers and a connection can't tell a lost server from an own link that
+    // carries nothing; another instance can.
     const bool is_certain =
         estimates_.IsUnreachable(record.row) &&
-        estimates_.Witnesses(record.row) >= settings_.witnesses_to_reset;
+        estimates_.HasOwnRepeats(record.row) &&
+        estimates_.Witnesses(record.row) >= settings_.witnesses_to_reset &&
+        (!has_neighbours_ || estimates_.PeerWitnesses(record.row) > 0);
     if (is_certain && now >= late_until_ &&
         now - progress >= settings_.silence_to_reset) {
       return steer_reason::kServerSilent;
@@ -636,6 +643,7 @@
   std::map<server_row, time_point> next_cold_flow_;
   duration idle_timeout_ = std::chrono::seconds(15);
 
+  bool has_neighbours_ = false;
   time_point complete_since_ = kNever;
   time_point confirmed_at_{};
   time_point paused_at_{};
@@ -671,6 +679,9 @@
 void flow_steering::OnPause(time_point now, duration limit) {
   impl_->OnPause(now, limit);
 }
+void flow_steering::SetHasNeighbours(bool has_neighbours) {
+  impl_->SetHasNeighbours(has_neighbours);
+}
 void flow_steering::OnLate(time_point now) { impl_->OnLate(now); }
 void flow_steering::OnPeerReports(time_point now, uint64_t peer,
                                   const std::vector<server_report>& reports) {
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -122,6 +122,9 @@
   /// The instance itself was late: packets that repeat meanwhile say nothing
   /// about servers.
   void OnLate(time_point now);
+  /// Whether other instances of the own domain are known: if so, one of them
+  /// has to find a server silent too before its flows are reset.
+  void SetHasNeighbours(bool has_neighbours);
   void OnPeerReports(time_point now, uint64_t peer,
                      const std::vector<server_report>& reports);
   void OnServerChecked(time_point now, backend_server_id server,
--- a/poplarstair/steering/peer_digest.cc
+++ b/poplarstair/steering/peer_digest.cc
@@ -26,7 +26,8 @@
   std::string address;
   uint64_t life = 0;
   uint32_t age_ms = 0;
-  MSGPACK_DEFINE(address, life, age_ms)
+  uint64_t domain = 0;
+  MSGPACK_DEFINE(address, life, age_ms, domain)
 };
 
 struct digest_fields {
@@ -38,11 +39,12 @@
   bool is_joining = false;
   bool is_following = false;
   std::array<uint64_t, kCollections> revisions{};
+  std::array<uint64_t, kCollections> contents{};
   int64_t age_ms = 0;
   std::vector<report_fields> reports;
   std::vector<named_fields> peers;
   MSGPACK_DEFINE(version, sender, life, failure_domain, is_stopping, is_joining,
-                 is_following, revisions, age_ms, reports, peers)
+                 is_following, revisions, contents, age_ms, reports, peers)
 };
 
 int64_t AgeMs(duration age) {
@@ -60,6 +62,7 @@
   fields.is_joining = digest.is_joining;
   fields.is_following = digest.is_following;
   fields.revisions = digest.revisions;
+  fields.contents = digest.contents;
   fields.age_ms = AgeMs(digest.age);
   for (const server_report& r : digest.reports) {
     const double scaled = std::clamp(r.load * kLoadScale, 0.0, 1e9);
@@ -68,7 +71,7 @@
   }
   for (const named_peer& peer : digest.peers) {
     fields.peers.push_back({peer.address.Pack(), peer.life,
-                            static_cast<uint32_t>(AgeMs(peer.age))});
+                            static_cast<uint32_t>(AgeMs(peer.age)), peer.domain.Value()});
   }
   return EncodeMessage(fields);
 }
@@ -89,13 +92,14 @@
   digest.is_joining = fields.is_joining;
   digest.is_following = fields.is_following;
   digest.revisions = fields.revisions;
+  digest.contents = fields.contents;
   digest.age = std::chrono::milliseconds(fields.age_ms);
   for (const report_fields& r : fields.reports) {
     digest.reports.push_back({r.server, r.load / kLoadScale, r.witnesses});
   }
   for (const named_fields& peer : fields.peers) {
     digest.peers.push_back({endpoint::Unpack(peer.address), peer.life,
-                            std::chrono::milliseconds(peer.age_ms)});
+                            std::chrono::milliseconds(peer.age_ms), failure_domain_id(peer.domain)});
   }
   return digest;
 }
--- a/poplarstair/steering/peer_digest.h
+++ b/poplarstair/steering/peer_digest.h
@@ -22,6 +22,7 @@
   incarnation life = 0;
   /// How long ago the sender, or who told it, has heard of it.
   duration age = duration::zero();
+  failure_domain_id domain;
 };
 
 struct peer_digest {
@@ -36,6 +37,7 @@
   /// The sender follows the store itself, and the store answers it.
   bool is_following = false;
   std::array<store_revision, kCollections> revisions{};
+  std::array<content_digest, kCollections> contents{};
   /// How long ago the store confirmed the sender's catalog.
   duration age = std::chrono::hours(1);
   std::vector<server_report> reports;
--- a/poplarstair/steering/peer_loads.h
+++ b/poplarstair/steering/peer_loads.h
@@ -28,7 +28,9 @@
       for (const server_report& report : said.reports) {
         if (report.server != server) continue;
         sum.load += report.load;
-        sum.witnesses += report.witnesses;
+        // One instance is one witness, however many flows it has: its own link
+        // may be what is broken.
+        sum.witnesses += report.witnesses > 0 ? 1 : 0;
       }
     }
     return sum;
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -10,6 +10,8 @@
 constexpr duration kRumourTime = std::chrono::seconds(2);
 /// A failed hand-over sends the next request elsewhere for this long.
 constexpr duration kAvoidTime = std::chrono::milliseconds(600);
+/// Most instances that are told of a stop; the others learn it from the rounds.
+constexpr size_t kMostNeighbours = 32;
 /// Key of the choice of who asks the store.
 constexpr uint64_t kFollowerKey = 0x666f6c6c6f77;
 
@@ -55,12 +57,14 @@
   }
   known.life = digest.life;
   known.failure_domain = digest.failure_domain;
-  known.revisions = digest.revisions;
+  known.state = {digest.revisions, digest.contents};
   known.is_following = digest.is_following;
   known.last_heard = now;
   if (known.failure_domain != settings_.failure_domain) far_heard_at_ = now;
   known.confirmed_at = now - digest.age;
-  for (const named_peer& named : digest.peers) OnNamed(now, named);
+  for (const named_peer& named : digest.peers) {
+    OnNamed(now, named);
+  }
   return true;
 }
 
@@ -74,8 +78,13 @@
   }
   const auto stopped = stopped_.find(named.address);
   if (stopped != stopped_.end() && named.life <= stopped->second) return;
-  // What was heard of long ago is likely gone.
-  if (named.age < kRumourTime) rumours_.try_emplace(named.address, now);
+  // What was heard of long ago is likely gone. Of other domains a few
+  // instances are enough.
+  const bool is_own = named.domain ==
+                      IdFromName<failure_domain_id>(settings_.failure_domain);
+  if (named.age >= kRumourTime) return;
+  if (!is_own && FarMembers() >= settings_.enough_far) return;
+  rumours_.try_emplace(named.address, now);
 }
 
 void peer_view::OnTick(time_point now) {
@@ -87,7 +96,9 @@
       ++it;
       continue;
     }
-    log_(log_record("instance_silent", log_level::kWarning)
+    // Few digests come from other domains: their silence says little.
+    const log_level level = is_own ? log_level::kWarning : log_level::kDebug;
+    log_(log_record("instance_silent", level)
              .With("peer", it->first.ToString())
              .With("domain", it->second.failure_domain)
              .With("members", members_.size() - 1));
@@ -104,10 +115,18 @@
 }
 
 std::vector<endpoint> peer_view::Draw(bool own_domain, size_t count) {
+  return DrawOf(
+      [&](const member& m) {
+        return (m.failure_domain == settings_.failure_domain) == own_domain;
+      },
+      count);
+}
+
+std::vector<endpoint> peer_view::DrawOf(
+    const std::function<bool(const member&)>& is_wanted, size_t count) {
   std::vector<endpoint> candidates;
   for (const auto& [address, known] : members_) {
-    const bool is_own = known.failure_domain == settings_.failure_domain;
-    if (is_own == own_domain) candidates.push_back(address);
+    if (is_wanted(known)) candidates.push_back(address);
   }
   const size_t wanted = std::min(count, candidates.size());
   for (size_t i = 0; i < wanted; ++i) {
@@ -128,60 +147,87 @@
   // Bounded, as a large fleet names more than one round can reach.
   size_t written = 0;
   for (const auto& [address, since] : rumours_) {
-    if (++written > kMaxNamedPeers) break;
+    if (++written > settings_.fan_out) break;
     targets.push_back(address);
   }
   return targets;
 }
 
-std::vector<endpoint> peer_view::ChangeTargets() {
+std::vector<endpoint> peer_view::AllNeighbours() {
+  return Draw(true, kMostNeighbours);
+}
+
+std::vector<endpoint> peer_view::ChangeTargets(bool with_other_domains) {
   std::vector<endpoint> targets = Draw(true, settings_.change_fan_out);
+  if (!with_other_domains) return targets;
   const std::vector<endpoint> far = Draw(false, 1);
   targets.insert(targets.end(), far.begin(), far.end());
   return targets;
 }
 
-std::vector<named_peer> peer_view::NamedPeers(time_point now) {
-  std::vector<endpoint> drawn = Draw(true, kMaxNamedPeers * 2 / 3);
-  const std::vector<endpoint> far = Draw(false, kMaxNamedPeers - drawn.size());
-  drawn.insert(drawn.end(), far.begin(), far.end());
+std::vector<named_peer> peer_view::NamedPeers(time_point now,
+                                              const std::string& domain) {
+  std::vector<endpoint> drawn = DrawOf(
+      [&](const member& m) { return m.failure_domain == domain; },
+      kMaxNamedPeers * 2 / 3);
+  const std::vector<endpoint> others = DrawOf(
+      [&](const member& m) { return m.failure_domain != domain; },
+      kMaxNamedPeers - drawn.size());
+  drawn.insert(drawn.end(), others.begin(), others.end());
   std::vector<named_peer> named;
   for (const endpoint& address : drawn) {
     const member& known = members_.at(address);
-    named.push_back({address, known.life, now - known.last_heard});
+    named.push_back({address, known.life, now - known.last_heard,
+                     IdFromName<failure_domain_id>(known.failure_domain)});
   }
   return named;
 }
 
+size_t peer_view::FarMembers() const {
+  return static_cast<size_t>(std::count_if(
+      members_.begin(), members_.end(), [this](const auto& entry) {
+        return entry.second.failure_domain != settings_.failure_domain;
+      }));
+}
+
+bool peer_view::HasNeighbours() const {
+  return FarMembers() < members_.size();
+}
+
 bool peer_view::IsJoining(time_point now) const {
   return now - started_at_ < settings_.learning_time;
 }
 
-time_point peer_view::ConfirmedAt(
-    const std::array<store_revision, kCollections>& revisions) const {
+bool peer_view::IsNewer(const held_state& theirs, const held_state& own,
+                        size_t i) {
+  return theirs.revisions[i] > own.revisions[i] &&
+         (theirs.contents[i] != own.contents[i] || own.revisions[i] == 0);
+}
+
+time_point peer_view::ConfirmedAt(const held_state& own) const {
   time_point latest{};
   for (const auto& [address, known] : members_) {
-    const bool is_covered =
-        std::equal(revisions.begin(), revisions.end(), known.revisions.begin(),
-                   [](store_revision own, store_revision theirs) {
-                     return own >= theirs;
-                   });
+    bool is_covered = true;
+    for (size_t i = 0; i < kCollections; ++i) {
+      is_covered = is_covered && !IsNewer(known.state, own, i);
+    }
     if (is_covered) latest = std::max(latest, known.confirmed_at);
   }
   return latest;
 }
 
-std::optional<endpoint> peer_view::NewerThan(collection what,
-                                             store_revision revision) {
-  std::optional<endpoint> best;
+std::optional<peer_view::newer_peer> peer_view::NewerThan(
+    collection what, const held_state& own) const {
+  const auto index = static_cast<size_t>(what);
+  std::optional<newer_peer> best;
   std::pair<bool, time_point> best_merit{};
   for (const auto& [address, known] : members_) {
-    if (known.revisions[static_cast<size_t>(what)] <= revision) continue;
+    if (!IsNewer(known.state, own, index)) continue;
     if (known.avoid_until > known.last_heard) continue;
     const std::pair merit(known.failure_domain == settings_.failure_domain,
                           known.last_heard);
     if (best && merit <= best_merit) continue;
-    best = address;
+    best = newer_peer{address, merit.first, known.state.revisions[index]};
     best_merit = merit;
   }
   return best;
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -3,6 +3,7 @@
 #ifndef POPLARSTAIR_STEERING_PEER_VIEW_H_
 #define POPLARSTAIR_STEERING_PEER_VIEW_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,9 +41,12 @@
   /// Without any digest from another domain for this long there is a cut; some
   /// two a second arrive.
   duration cut_after = std::chrono::milliseconds(1500);
-  /// Instances that are told of a change at once; with more, the rounds carry
-  /// it further.
-  uint32_t change_fan_out = 32;
+  /// Instances that are told of a change at once, by each that learns of it.
+  /// Everybody is told within a few steps, and nobody has to hand the change
+  /// over to more instances than its link carries in a moment.
+  uint32_t change_fan_out = 4;
+  /// Instances of other domains that are enough to know.
+  uint32_t enough_far = 8;
   /// After a start the own view is too small to own anything for this long.
   duration learning_time = std::chrono::milliseconds(1500);
 };
@@ -64,17 +68,31 @@
   /// Whom to send the digest of this round to.
   std::vector<endpoint> RoundTargets(time_point now);
   /// Whom to tell of a change at once.
-  std::vector<endpoint> ChangeTargets();
-  /// A few instances to name in a digest.
-  std::vector<named_peer> NamedPeers(time_point now);
+  std::vector<endpoint> ChangeTargets(bool with_other_domains);
+  /// Instances of the own domain, up to a bound.
+  std::vector<endpoint> AllNeighbours();
+  /// A few instances to name in a digest, mostly of one domain.
+  std::vector<named_peer> NamedPeers(time_point now, const std::string& domain);
   bool IsJoining(time_point now) const;
 
-  /// When the store last confirmed a catalog at least as new as `revisions`,
-  /// as far as peers have told.
-  time_point ConfirmedAt(
-      const std::array<store_revision, kCollections>& revisions) const;
-  /// An instance that holds a newer state of the collection.
-  std::optional<endpoint> NewerThan(collection what, store_revision revision);
+  /// The state of the collections that an instance holds.
+  struct held_state {
+    std::array<store_revision, kCollections> revisions{};
+    std::array<content_digest, kCollections> contents{};
+  };
+
+  /// When the store last confirmed a catalog that is not newer than `own`, as
+  /// far as peers have told.
+  time_point ConfirmedAt(const held_state& own) const;
+  struct newer_peer {
+    endpoint address;
+    bool is_own_domain = false;
+    store_revision revision = 0;
+  };
+  /// An instance that holds another, newer state of the collection, of the own
+  /// domain if there is one.
+  std::optional<newer_peer> NewerThan(collection what,
+                                      const held_state& own) const;
   /// A fetch from the instance has failed: others are asked first.
   void OnFetchFailed(time_point now, const endpoint& peer);
 
@@ -84,6 +102,8 @@
   /// True if this instance, of all in its domain, is chosen for `key`.
   bool Owns(time_point now, uint64_t key) const;
 
+  /// True if another instance of the own domain is known.
+  bool HasNeighbours() const;
   /// True if other domains were heard of, and none is any more.
   bool IsDomainCutOff(time_point now) const;
 
@@ -93,7 +113,7 @@
   struct member {
     incarnation life = 0;
     std::string failure_domain;
-    std::array<store_revision, kCollections> revisions{};
+    held_state state;
     bool is_following = false;
     time_point last_heard{};
     /// When the store confirmed its catalog, on the own clock.
@@ -102,10 +122,16 @@
   };
 
   void OnNamed(time_point now, const named_peer& named);
+  size_t FarMembers() const;
+  /// True if collection `i` of `theirs` is another, newer state than `own`.
+  static bool IsNewer(const held_state& theirs, const held_state& own,
+                      size_t i);
   uint64_t HashOf(const endpoint& e) const;
   /// Members of the own domain that come before this one for `key`.
   uint32_t Rank(uint64_t key) const;
   std::vector<endpoint> Draw(bool own_domain, size_t count);
+  std::vector<endpoint> DrawOf(
+      const std::function<bool(const member&)>& is_wanted, size_t count);
 
   peer_view_settings settings_;
   random_source random_;
--- a/poplarstair/steering/server_report.h
+++ b/poplarstair/steering/server_report.h
@@ -10,7 +10,8 @@
   flow_cookie server = 0;
   /// Smoothed work in progress.
   double load = 0;
-  /// Flows of the instance's own callers that have waited for it in vain.
+  /// Flows of the instance's own callers that have waited for it in vain; in a
+  /// sum over instances, the instances that have such flows.
   uint32_t witnesses = 0;
 };
 
--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -18,7 +18,7 @@
   server.failure_domain = "z";
   server.cold_until = kNow + std::chrono::seconds(3);
   server.born_ms = 1234;
-  return {name, false, server};
+  return {name, false, server, id};
 }
 
 store_object Routes(uint64_t version) {
@@ -31,7 +31,7 @@
   route.timeout = std::chrono::seconds(1);
   table.routes = {route};
   table.services = {{"a", 2.5, 100}};
-  return {"main", false, table};
+  return {"main", false, table, version};
 }
 
 catalog_replica MakeReplica() {
@@ -44,7 +44,7 @@
   catalog_replica first = MakeReplica();
   first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
   first.Replace(kNow, collection::kServers, 6, {Server("i-1", 1)});
-  first.Replace(kNow, collection::kWithdrawals, 7, {{"z2", false, {}}});
+  first.Replace(kNow, collection::kWithdrawals, 7, {{"z2", false, {}, 4}});
   catalog_replica second = MakeReplica();
   // The other instance's clock shows another time.
   const time_point there{std::chrono::seconds(9000)};
@@ -82,7 +82,7 @@
   replica.Replace(kNow, collection::kServers, 5,
                   {Server("i-1", 1), Server("i-2", 2)});
   replica.Change(kNow, collection::kServers, 6,
-                 {{"i-1", false, unreadable_object{"no state"}}});
+                 {{"i-1", false, unreadable_object{"no state"}, 6}});
   cr_assert_not(replica.Current().servers.contains("i-1"));
   cr_assert(replica.Current().servers.contains("i-2"));
 }
@@ -90,9 +90,9 @@
 Test(catalog_replica, follows_withdrawal_and_return) {
   catalog_replica replica = MakeReplica();
   replica.Replace(kNow, collection::kWithdrawals, 5, {});
-  replica.Change(kNow, collection::kWithdrawals, 6, {{"z", false, {}}});
+  replica.Change(kNow, collection::kWithdrawals, 6, {{"z", false, {}, 6}});
   cr_assert_eq(replica.Current().withdrawn_domains.size(), 1u);
-  replica.Change(kNow, collection::kWithdrawals, 7, {{"z", true, {}}});
+  replica.Change(kNow, collection::kWithdrawals, 7, {{"z", true, {}, 6}});
   cr_assert(replica.Current().withdrawn_domains.empty());
 }
 
@@ -102,3 +102,24 @@
                   malformed_message);
   cr_assert_eq(replica.Revision(collection::kServers), 0u);
 }
+
+Test(catalog_replica, the_digest_tells_content_from_revision) {
+  catalog_replica listed = MakeReplica();
+  listed.Replace(kNow, collection::kServers, 50,
+                 {Server("i-1", 1), Server("i-2", 2)});
+  catalog_replica watched = MakeReplica();
+  watched.Replace(kNow, collection::kServers, 5, {Server("i-1", 1)});
+  cr_assert_neq(watched.Digest(collection::kServers),
+                listed.Digest(collection::kServers));
+  watched.Change(kNow, collection::kServers, 6, {Server("i-2", 2)});
+  cr_assert_eq(watched.Digest(collection::kServers),
+               listed.Digest(collection::kServers));
+  catalog_replica fetched = MakeReplica();
+  fetched.Import(kNow, collection::kServers,
+                 listed.Export(kNow, collection::kServers));
+  cr_assert_eq(fetched.Digest(collection::kServers),
+               listed.Digest(collection::kServers));
+  watched.Change(kNow, collection::kServers, 7, {{"i-2", true, {}, 2}});
+  cr_assert_neq(watched.Digest(collection::kServers),
+                listed.Digest(collection::kServers));
+}
--- a/unit_tests/steering/entry_fleet.h
+++ b/unit_tests/steering/entry_fleet.h
@@ -60,11 +60,12 @@
 
   void Append(collection what, const store_object& object) {
     history_.push_back({++revision_, what, object});
+    history_.back().object.revision = revision_;
     const std::pair key(what, object.name);
     if (object.is_deleted) {
       objects_.erase(key);
     } else {
-      objects_[key] = object;
+      objects_[key] = history_.back().object;
     }
     if (changed) changed();
   }
@@ -163,6 +164,7 @@
   };
   size_t store_calls = 0;
   size_t digest_bytes = 0;
+  size_t fetches = 0;
 
  private:
   struct node {
@@ -216,6 +218,7 @@
             });
     };
     hooks.fetch = [this, i](const endpoint& peer, collection what) {
+      ++fetches;
       const size_t from = IndexOf(peer);
       std::string exported;
       if (nodes_[from] && !is_cut(i, from)) {
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -120,3 +120,30 @@
   // without reports may take a quarter of it.
   cr_assert_leq((fleet.digest_bytes - before) / 10 / kInstances, 8'192u / 2);
 }
+
+// The store counts one revision over all collections: a list that is read later
+// has a later revision, and all others took its unchanged content for news.
+Test(entry_instance, an_instance_that_starts_makes_nobody_fetch_anything) {
+  entry_fleet fleet(kInstances, kDomains, 11);
+  fleet.RunFor(seconds(6));
+  fleet.SetRoutes(2);
+  fleet.RunFor(seconds(2));
+  const size_t fetches = fleet.fetches;
+  for (size_t i = 10; i < 14; ++i) {
+    fleet.Kill(i);
+    fleet.Add(i);
+    fleet.RunFor(seconds(1));
+  }
+  cr_assert_leq(fleet.fetches - fetches, 4 * 3u);
+}
+
+// The seeds all lay in other domains, and the instances of the fourth found
+// none of their own: each of them followed the store.
+Test(entry_instance, a_domain_without_seeds_finds_itself) {
+  entry_fleet fleet(kInstances, 4, 12);
+  fleet.RunFor(seconds(8));
+  cr_assert_leq(fleet.Followers(), 5u);
+  size_t followers = 0;
+  for (size_t i = 3; i < kInstances; i += 4) followers += fleet.Follows(i);
+  cr_assert_eq(followers, 1u);
+}
