--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -21,8 +21,8 @@
   /// Instances to ask first.
   std::vector<endpoint> seeds;
   /// An instance of the own domain that has not been heard of, nor named by
-  /// others, for this long is taken as gone; ten rounds of digests.
-  duration silence_limit = std::chrono::milliseconds(2500);
+  /// others, for this long is taken as gone; sixteen rounds of digests.
+  duration silence_limit = std::chrono::seconds(4);
   /// The same for other domains, which few digests reach.
   duration far_silence_limit = std::chrono::seconds(15);
   /// Age of the catalog at which an instance of rank 0 asks the store itself;
