--- a/poplarstair/programs/poplarstaird.cc
+++ b/poplarstair/programs/poplarstaird.cc
@@ -23,7 +23,7 @@
     "Runs one entry instance of the load balancer until SIGTERM, which stops\n"
     "it gracefully. SIGHUP reads the log settings again.\n"
     "\n"
-    "  --settings=FILE  the instance's settings (TOML); see docs/OPERATING.md\n"
+    "  --settings=FILE  the instance's settings (TOML); see docs/OPERATIONS.md\n"
     "  --help           shows this text\n"
     "  --version        shows the version\n"
     "\n"
