--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Thin front of the CMake presets; see README.md for what each target shows.
 .DEFAULT_GOAL := build
 .PHONY: setup configure build build-sanitize test test-sanitize lint format demo \
-        bench-flows bench-requests bench-config scenarios capacity soak clean
+        bench-flows bench-requests bench-config scenarios capacity soak soak-site clean
 
 BIN := build/release/bin
 
@@ -51,5 +51,9 @@
 soak: build
 	@scripts/soak.sh
 
+# Real daemons between stand-ins of the users' platform: make soak-site SEED=7
+soak-site: build
+	@$(BIN)/poplar_soak --seed=$(or $(SEED),1) --seeds=$(or $(SEEDS),1) --seconds=$(or $(SECONDS),20) --print_faults
+
 clean:
 	@rm -rf build
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -20,7 +20,9 @@
   store_follower follower{collection::kServers,
                           {},
                           random_source(1),
-                          {[this](store_request r) { calls.push_back(r); },
+                          {[this](const store_request& r) {
+                            calls.push_back(r);
+                          },
                            [this](store_revision revision, auto objects) {
                              replaced.push_back(revision);
                              replaced_objects.push_back(objects.size());
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -32,7 +32,7 @@
   fleet.RunFor(seconds(30));
   // Three collections, a call every five seconds, a follower a domain; twice
   // that is allowed for changes of the follower.
-  cr_assert_leq(fleet.store_calls - calls, 2 * 3 * 6 * kDomains);
+  cr_assert_leq(fleet.store_calls - calls, size_t{2 * 3 * 6} * kDomains);
 }
 
 Test(entry_instance, a_change_reaches_every_instance_at_once) {
@@ -134,7 +134,7 @@
     fleet.Add(i);
     fleet.RunFor(seconds(1));
   }
-  cr_assert_leq(fleet.fetches - fetches, 4 * 3u);
+  cr_assert_leq(fleet.fetches - fetches, size_t{4 * 3});
 }
 
 // The seeds all lay in other domains, and the instances of the fourth found
