--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -30,16 +30,34 @@
   ++rows_[row].in_flight;
 }
 
-void server_estimates::OnRequestDropped(time_point now, uint32_t row) {
-  estimate& e = rows_[row];
+void server_estimates::EndRequest(time_point now, estimate& e) {
   Smooth(now, e);
   if (e.in_flight > 0) --e.in_flight;
 }
 
+double server_estimates::Unanswered(time_point now, const estimate& e) const {
+  return e.unanswered * Decay(now - e.unanswered_at, settings_.forget_after);
+}
+
+void server_estimates::NoteAnswer(time_point now, estimate& e,
+                                  bool is_answered) {
+  const double before = Unanswered(now, e);
+  const double sample = is_answered ? 0 : 1;
+  e.unanswered = before + settings_.unanswered_weight * (sample - before);
+  e.unanswered_at = now;
+}
+
+void server_estimates::OnRequestDropped(time_point now, uint32_t row,
+                                        duration waited) {
+  EndRequest(now, rows_[row]);
+  if (waited >= settings_.unanswered_after) NoteAnswer(now, rows_[row], false);
+}
+
 void server_estimates::OnRequestDone(time_point now, uint32_t row,
                                      duration took) {
-  OnRequestDropped(now, row);
   estimate& e = rows_[row];
+  EndRequest(now, e);
+  NoteAnswer(now, e, true);
   const double sample = static_cast<double>(took.count());
   const double before = RequestTime(now, e);
   e.request_time = before + settings_.time_weight * (sample - before);
@@ -181,7 +199,8 @@
   const double own =
       std::max(static_cast<double>(e.in_flight), OwnLoad(now, row));
   const double load = own + (has_peers ? e.peer_load : 0);
-  return (load + 1) / slots * RequestTime(now, e);
+  const double penalty = 1 + settings_.unanswered_factor * Unanswered(now, e);
+  return (load + 1) / slots * RequestTime(now, e) * penalty;
 }
 
 }  // namespace poplarstair
--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -20,6 +20,15 @@
   /// A request time that is not refreshed falls back to the usual one this
   /// fast, so that a server that was slow is tried again.
   duration forget_after = std::chrono::seconds(4);
+  /// A request that ends unanswered after a shorter wait says nothing: its
+  /// caller may have left.
+  duration unanswered_after = std::chrono::milliseconds(700);
+  /// Weight of the newest request in the share of unanswered ones.
+  double unanswered_weight = 0.1;
+  /// How much longer the expected wait counts if no request is answered. A
+  /// server that acknowledges and never answers looks idle otherwise; as a
+  /// factor it can't empty a service whose servers are all bad.
+  double unanswered_factor = 20;
   /// Request time of a server that has not answered yet.
   duration first_time = std::chrono::milliseconds(30);
   /// Observations that are further apart than this do not add up: each may
@@ -56,8 +65,8 @@
   void OnFlowClosed(uint32_t row);
   void OnRequestSent(time_point now, uint32_t row);
   void OnRequestDone(time_point now, uint32_t row, duration took);
-  /// A request that ended without an answer.
-  void OnRequestDropped(time_point now, uint32_t row);
+  /// A request that ended without an answer after `waited`.
+  void OnRequestDropped(time_point now, uint32_t row, duration waited);
   /// The caller has got something new from the server. True if the server
   /// counted as silent before.
   bool OnProgress(time_point now, uint32_t row);
@@ -136,6 +145,9 @@
     /// Microseconds; 0 if unknown.
     double request_time = 0;
     time_point time_at{};
+    /// Share of requests without an answer, smoothed.
+    double unanswered = 0;
+    time_point unanswered_at{};
     time_point last_progress = time_point{};
     /// Flows that wait in vain since the last progress.
     std::array<uint64_t, kMaxWitnesses> waiting_flows{};
@@ -152,6 +164,9 @@
   };
 
   void Smooth(time_point now, estimate& e);
+  void EndRequest(time_point now, estimate& e);
+  void NoteAnswer(time_point now, estimate& e, bool is_answered);
+  double Unanswered(time_point now, const estimate& e) const;
   double RequestTime(time_point now, const estimate& e) const;
   static void ClearSilence(estimate& e);
   bool AddWitness(time_point now, estimate& e, uint64_t flow);
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -81,8 +81,7 @@
                               digest.reports);
     }
     if (digest.is_joining && !is_stopping_) {
-      Send(digest.sender,
-           EncodeDigest(MakeDigest(now, digest.failure_domain)));
+      Send(digest.sender, EncodeDigest(MakeDigest(now, digest.failure_domain)));
     }
     RaiseRevisions(digest);
     FetchNewer(now);
@@ -136,7 +135,8 @@
 
   void OnStop(time_point now) {
     is_stopping_ = true;
-    const std::string bytes = EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
+    const std::string bytes =
+        EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
     for (const endpoint& peer : peers_.AllNeighbours()) Send(peer, bytes);
     for (const auto& follower : followers_) follower->Stop();
   }
@@ -249,7 +249,8 @@
     steering_.OnCatalog(now, replica_.Current());
     // Instances that do not follow the store learn of the change here, one from
     // the other. Other domains have followers of their own.
-    const std::string bytes = EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
+    const std::string bytes =
+        EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
     for (const endpoint& peer : peers_.ChangeTargets(from_store)) {
       Send(peer, bytes);
     }
@@ -345,7 +346,8 @@
     next_round_ = now + settings_.digest_interval;
     const std::vector<endpoint> targets = peers_.RoundTargets(now);
     if (targets.empty()) return;
-    const std::string bytes = EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
+    const std::string bytes =
+        EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
     for (const endpoint& peer : targets) Send(peer, bytes);
   }
 
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -18,6 +18,8 @@
 constexpr uint32_t kUnacknowledgedBytes = 16 * 1200;
 /// Flows whose caller has sent its last packet are kept for stray ones.
 constexpr duration kFinishedFlowTime = std::chrono::seconds(2);
+/// Beyond this no caller waits for an answer any more: the longest deadline.
+constexpr duration kLongestRequest = std::chrono::seconds(10);
 /// Most servers that are tested in one tick.
 constexpr uint32_t kChecksPerTick = 4;
 /// Most servers that one report to other instances names.
@@ -130,8 +132,12 @@
     estimates_.Resize(servers_.Size());
     routes_.Update(current.routes);
     services_.clear();
+    cold_rates_.clear();
     for (const service_limits& s : current.routes.services) {
       services_.push_back(s.name);
+      if (s.cold_flows_per_second > 0) {
+        cold_rates_[s.name] = s.cold_flows_per_second;
+      }
     }
     idle_timeout_ = current.routes.idle_timeout;
   }
@@ -332,7 +338,7 @@
                                  actions_.owns_cold};
     server_choice choice =
         ChooseServer(now, context, settings_.choice, service, avoided, random_);
-    if (choice.is_cold && !TakeColdFlow(now, choice.row)) {
+    if (choice.is_cold && !TakeColdFlow(now, choice.row, service)) {
       choice.row = kNoServer;
     }
     if (choice.row == kNoServer && avoided != kNoServer &&
@@ -358,14 +364,21 @@
   }
 
   /// One flow at a time, at the rate that the cold server bears.
-  bool TakeColdFlow(time_point now, server_row row) {
+  bool TakeColdFlow(time_point now, server_row row,
+                    const std::string& service) {
     time_point& next = next_cold_flow_[row];
     if (now < next) return false;
-    next = now + duration(static_cast<int64_t>(
-                     1e6 / settings_.choice.cold_flows_per_second));
+    next = now + duration(static_cast<int64_t>(1e6 / ColdRate(service)));
     return true;
   }
 
+  double ColdRate(const std::string& service) const {
+    const choice_settings& choice = settings_.choice;
+    const auto it = cold_rates_.find(service);
+    if (it == cold_rates_.end()) return choice.cold_flows_per_second;
+    return it->second * choice.cold_share;
+  }
+
   steer_decision OnOpenFlow(time_point now, const segment& packet,
                             uint64_t hash) {
     const auto [it, is_new] = flows_.try_emplace(hash);
@@ -467,7 +480,7 @@
   void DropRequest(time_point now, flow_record& record) {
     if (!record.has_request) return;
     record.has_request = false;
-    estimates_.OnRequestDropped(now, record.row);
+    estimates_.OnRequestDropped(now, record.row, now - record.request_at);
   }
 
   void Close(time_point now, flow_record& record) {
@@ -559,6 +572,10 @@
   void Sweep(time_point now) {
     for (auto it = flows_.begin(); it != flows_.end();) {
       flow_record& record = it->second;
+      // Its caller has given up: neither work in progress nor an answer.
+      if (record.has_request && now - record.request_at > kLongestRequest) {
+        DropRequest(now, record);
+      }
       const duration idle = now - record.last_seen;
       const duration limit =
           record.is_finished ? kFinishedFlowTime : idle_timeout_;
@@ -631,6 +648,8 @@
   server_set servers_;
   route_index routes_;
   std::vector<std::string> services_;
+  /// New flows a second that a cold server bears, where operators state it.
+  std::map<std::string, double> cold_rates_;
   server_estimates estimates_;
   peer_loads peer_loads_;
   latency_histogram& handshake_time_;
--- a/poplarstair/steering/peer_digest.cc
+++ b/poplarstair/steering/peer_digest.cc
@@ -71,7 +71,8 @@
   }
   for (const named_peer& peer : digest.peers) {
     fields.peers.push_back({peer.address.Pack(), peer.life,
-                            static_cast<uint32_t>(AgeMs(peer.age)), peer.domain.Value()});
+                            static_cast<uint32_t>(AgeMs(peer.age)),
+                            peer.domain.Value()});
   }
   return EncodeMessage(fields);
 }
@@ -99,7 +100,8 @@
   }
   for (const named_fields& peer : fields.peers) {
     digest.peers.push_back({endpoint::Unpack(peer.address), peer.life,
-                            std::chrono::milliseconds(peer.age_ms), failure_domain_id(peer.domain)});
+                            std::chrono::milliseconds(peer.age_ms),
+                            failure_domain_id(peer.domain)});
   }
   return digest;
 }
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -80,8 +80,8 @@
   if (stopped != stopped_.end() && named.life <= stopped->second) return;
   // What was heard of long ago is likely gone. Of other domains a few
   // instances are enough.
-  const bool is_own = named.domain ==
-                      IdFromName<failure_domain_id>(settings_.failure_domain);
+  const bool is_own =
+      named.domain == IdFromName<failure_domain_id>(settings_.failure_domain);
   if (named.age >= kRumourTime) return;
   if (!is_own && FarMembers() >= settings_.enough_far) return;
   rumours_.try_emplace(named.address, now);
@@ -167,12 +167,12 @@
 
 std::vector<named_peer> peer_view::NamedPeers(time_point now,
                                               const std::string& domain) {
-  std::vector<endpoint> drawn = DrawOf(
-      [&](const member& m) { return m.failure_domain == domain; },
-      kMaxNamedPeers * 2 / 3);
-  const std::vector<endpoint> others = DrawOf(
-      [&](const member& m) { return m.failure_domain != domain; },
-      kMaxNamedPeers - drawn.size());
+  std::vector<endpoint> drawn =
+      DrawOf([&](const member& m) { return m.failure_domain == domain; },
+             kMaxNamedPeers * 2 / 3);
+  const std::vector<endpoint> others =
+      DrawOf([&](const member& m) { return m.failure_domain != domain; },
+             kMaxNamedPeers - drawn.size());
   drawn.insert(drawn.end(), others.begin(), others.end());
   std::vector<named_peer> named;
   for (const endpoint& address : drawn) {
@@ -190,9 +190,7 @@
       }));
 }
 
-bool peer_view::HasNeighbours() const {
-  return FarMembers() < members_.size();
-}
+bool peer_view::HasNeighbours() const { return FarMembers() < members_.size(); }
 
 bool peer_view::IsJoining(time_point now) const {
   return now - started_at_ < settings_.learning_time;
--- a/poplarstair/steering/server_choice.h
+++ b/poplarstair/steering/server_choice.h
@@ -21,6 +21,9 @@
   /// New flows a second that a cold server gets when the operators state no
   /// bound and no warm server is left.
   double cold_flows_per_second = 3;
+  /// Part of a stated bound that an owner uses: two instances that both take
+  /// themselves for the owner for a moment stay within one and a half times it.
+  double cold_share = 0.7;
 };
 
 /// What the choice is made from.
--- a/unit_tests/admission/server_estimates_test.cc
+++ b/unit_tests/admission/server_estimates_test.cc
@@ -106,3 +106,27 @@
   }
   cr_assert_gt(last_pause, duration(seconds(2)));
 }
+
+// A server that acknowledged and never answered looked idle, and drew flows.
+Test(server_estimates, a_server_that_answers_few_requests_is_avoided) {
+  server_estimates estimates = MakeEstimates();
+  time_point now = kStart;
+  for (int i = 0; i < 10; ++i) {
+    estimates.OnRequestSent(now, 0);
+    estimates.OnRequestSent(now, 1);
+    now += milliseconds(30);
+    estimates.OnRequestDone(now, 1, milliseconds(30));
+    now += seconds(1);
+    estimates.OnRequestDropped(now, 0, seconds(1));
+  }
+  const double bad = estimates.ExpectedWait(now, 0, 2);
+  cr_assert_gt(bad, 4 * estimates.ExpectedWait(now, 1, 2));
+  // Not for ever, and not out of reach.
+  cr_assert_lt(estimates.ExpectedWait(now + seconds(20), 0, 2), bad / 4);
+  // A caller that leaves at once says nothing of the server.
+  estimates.Forget(0);
+  const double idle = estimates.ExpectedWait(now, 0, 2);
+  estimates.OnRequestSent(now, 0);
+  estimates.OnRequestDropped(now, 0, milliseconds(50));
+  cr_assert_eq(estimates.ExpectedWait(now, 0, 2), idle);
+}
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -88,7 +88,9 @@
 Test(entry_instance, each_domain_follows_the_store_while_cut_from_the_others) {
   entry_fleet fleet(kInstances, kDomains, 7);
   fleet.RunFor(seconds(6));
-  fleet.is_cut = [](size_t a, size_t b) { return a % kDomains != b % kDomains; };
+  fleet.is_cut = [](size_t a, size_t b) {
+    return a % kDomains != b % kDomains;
+  };
   ExpectInForce(fleet, 2, milliseconds(2800));
   fleet.RunFor(seconds(10));
   ExpectInForce(fleet, 3, milliseconds(2800));
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -243,8 +243,7 @@
   site.Pass(milliseconds(500));
   cr_assert(site.tested.contains(silent));
   site.steering.OnServerChecked(site.now, silent, true);
-  const steer_decision next =
-      site.Data(1, site.Cookie(silent.Value()), 101, 1);
+  const steer_decision next = site.Data(1, site.Cookie(silent.Value()), 101, 1);
   cr_assert_eq(next.verdict, steer_verdict::kForward);
 }
 
@@ -338,6 +337,32 @@
   for (const auto& [id, count] : flows) cr_assert_leq(count, 4);
 }
 
+Test(flow_steering, a_stated_bound_of_cold_servers_holds_for_two_owners) {
+  int flows = 0;
+  for (int owner = 0; owner < 2; ++owner) {
+    steering_site site;
+    site.known.routes.services = {{"s", 10, 0}};
+    for (auto& [name, server] : site.known.servers) {
+      server.cold_until = site.now + seconds(60);
+      if (name != "1") server.state = server_state::kDraining;
+    }
+    site.owns_cold = true;
+    site.Publish();
+    for (uint16_t port = 10; port < 110; ++port) {
+      const steer_decision placed = site.Open(port);
+      if (placed.verdict == steer_verdict::kForward) {
+        ++flows;
+        site.Answer(port, placed.cookie);
+      }
+      site.now += milliseconds(10);
+      site.steering.OnConfirmed(site.now);
+    }
+  }
+  // One and a half times the bound and five more, in any second.
+  cr_assert_leq(flows, 10 * 3 / 2 + 5);
+  cr_assert_geq(flows, 10);
+}
+
 Test(flow_steering, refuses_at_once_only_what_it_knows_for_certain) {
   steering_site site;
   const endpoint unknown = endpoint::Parse("198.18.0.9:1");
