--- a/poplarstair/daemon/digest_task.cc
+++ b/poplarstair/daemon/digest_task.cc
@@ -1,5 +1,8 @@
 #include "poplarstair/daemon/digest_task.h"
 
+#include <span>
+#include <vector>
+
 namespace poplarstair {
 
 namespace {
@@ -38,11 +41,16 @@
 }
 
 void digest_task::Send(const digest_to_send& digest) {
-  const datagram out{{digest.peer.address, port_},
-                     {reinterpret_cast<const uint8_t*>(digest.bytes.data()),
-                      digest.bytes.size()}};
+  const std::span<const uint8_t> bytes(
+      reinterpret_cast<const uint8_t*>(digest.bytes.data()),
+      digest.bytes.size());
+  std::vector<datagram> out;
+  for (const endpoint& peer : digest.peers) {
+    if (out.size() == udp_batch::kMaxDatagrams) break;
+    out.push_back({{peer.address, port_}, bytes});
+  }
   // A digest that the kernel does not take is followed by the next one.
-  batch_.Send(socket_, {&out, 1});
+  batch_.Send(socket_, out);
 }
 
 void digest_task::Fetch(const collection_wanted& wanted) {
--- a/poplarstair/daemon/entry_board.h
+++ b/poplarstair/daemon/entry_board.h
@@ -53,7 +53,7 @@
 // From the steering task.
 
 struct digest_to_send {
-  endpoint peer;
+  std::vector<endpoint> peers;
   std::string bytes;
 };
 
--- a/poplarstair/daemon/steering_task.cc
+++ b/poplarstair/daemon/steering_task.cc
@@ -92,8 +92,8 @@
     hooks.call_store = [this](store_request request) {
       board_.store.Post(std::move(request));
     };
-    hooks.send_digest = [this](const endpoint& peer, std::string bytes) {
-      board_.digests.Post({peer, std::move(bytes)});
+    hooks.send_digest = [this](std::vector<endpoint> peers, std::string bytes) {
+      board_.digests.Post({std::move(peers), std::move(bytes)});
     };
     hooks.fetch = [this](const endpoint& peer, collection what) {
       board_.fetches.Post({peer, what});
@@ -116,6 +116,8 @@
       for (const datagram& d : received) OnPacket(now, d.bytes);
       SendOut();
       ArmHandshakeTimer(now);
+      // The rest, if any, wakes the loop again: a call less for each packet.
+      if (received.size() < udp_batch::kMaxDatagrams) return;
     }
   }
 
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -81,7 +81,7 @@
                               digest.reports);
     }
     if (digest.is_joining && !is_stopping_) {
-      Send(digest.sender, EncodeDigest(MakeDigest(now, digest.failure_domain)));
+      Send(now, {digest.sender}, digest.failure_domain);
     }
     RaiseRevisions(digest);
     FetchNewer(now);
@@ -135,9 +135,7 @@
 
   void OnStop(time_point now) {
     is_stopping_ = true;
-    const std::string bytes =
-        EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
-    for (const endpoint& peer : peers_.AllNeighbours()) Send(peer, bytes);
+    Send(now, peers_.AllNeighbours(), settings_.peers.failure_domain);
     for (const auto& follower : followers_) follower->Stop();
   }
 
@@ -249,11 +247,7 @@
     steering_.OnCatalog(now, replica_.Current());
     // Instances that do not follow the store learn of the change here, one from
     // the other. Other domains have followers of their own.
-    const std::string bytes =
-        EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
-    for (const endpoint& peer : peers_.ChangeTargets(from_store)) {
-      Send(peer, bytes);
-    }
+    Send(now, peers_.ChangeTargets(from_store), settings_.peers.failure_domain);
   }
 
   void UpdateConfirmed(time_point now) {
@@ -344,16 +338,15 @@
 
   void SendRound(time_point now) {
     next_round_ = now + settings_.digest_interval;
-    const std::vector<endpoint> targets = peers_.RoundTargets(now);
-    if (targets.empty()) return;
-    const std::string bytes =
-        EncodeDigest(MakeDigest(now, settings_.peers.failure_domain));
-    for (const endpoint& peer : targets) Send(peer, bytes);
+    Send(now, peers_.RoundTargets(now), settings_.peers.failure_domain);
   }
 
-  void Send(const endpoint& peer, const std::string& bytes) {
-    digest_bytes_.Add(bytes.size());
-    actions_.send_digest(peer, bytes);
+  void Send(time_point now, std::vector<endpoint> peers,
+            const std::string& named_domain) {
+    if (peers.empty()) return;
+    std::string bytes = EncodeDigest(MakeDigest(now, named_domain));
+    digest_bytes_.Add(bytes.size() * peers.size());
+    actions_.send_digest(std::move(peers), std::move(bytes));
   }
 
   void NoteLateness(time_point now) {
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -40,7 +40,8 @@
   struct hooks {
     log_hook log;
     store_hook call_store;
-    std::function<void(const endpoint& peer, std::string digest)> send_digest;
+    std::function<void(std::vector<endpoint> peers, std::string digest)>
+        send_digest;
     /// Fetch a collection from another instance; answered by OnFetched.
     std::function<void(const endpoint& peer, collection what)> fetch;
     /// Send a packet that opened a flow once more, as decided.
--- a/unit_tests/steering/entry_fleet.h
+++ b/unit_tests/steering/entry_fleet.h
@@ -208,14 +208,9 @@
     entry_instance::hooks hooks;
     hooks.log = [](const log_record&) {};
     hooks.call_store = [this, i](const store_request& r) { CallStore(i, r); };
-    hooks.send_digest = [this, i](const endpoint& peer, std::string bytes) {
-      digest_bytes += bytes.size();
-      const size_t to = IndexOf(peer);
-      if (!nodes_[to] || is_cut(i, to)) return;
-      Later(to, nodes_[to].get(), kDelay,
-            [this, bytes = std::move(bytes)](entry_instance& instance) {
-              instance.OnDigest(queue.Now(), bytes);
-            });
+    hooks.send_digest = [this, i](const std::vector<endpoint>& peers,
+                                  const std::string& bytes) {
+      for (const endpoint& peer : peers) SendDigest(i, IndexOf(peer), bytes);
     };
     hooks.fetch = [this, i](const endpoint& peer, collection what) {
       ++fetches;
@@ -236,6 +231,15 @@
     return hooks;
   }
 
+  void SendDigest(size_t from, size_t to, const std::string& bytes) {
+    digest_bytes += bytes.size();
+    if (!nodes_[to] || is_cut(from, to)) return;
+    Later(to, nodes_[to].get(), kDelay,
+          [this, bytes](entry_instance& instance) {
+            instance.OnDigest(queue.Now(), bytes);
+          });
+  }
+
   void CallStore(size_t i, const store_request& request) {
     ++store_calls;
     const node* owner = nodes_[i].get();
