Find every instance of a large domain; wait as long as news needs to spread

Named instances were written to in order of address and never asked to answer, so some knew 10 of their 100 neighbours and took themselves for the first in rank; and a domain of 100 needs more rounds for news than the 0.9 s after which others took over. Ruled out: lost digests.

--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -80,7 +80,7 @@
       steering_.OnPeerReports(now, HashBytes(digest.sender.Pack()),
                               digest.reports);
     }
-    if (digest.is_joining && !is_stopping_) {
+    if (digest.wants_reply && !is_stopping_) {
       Send(now, {digest.sender}, digest.failure_domain);
     }
     RaiseRevisions(digest);
@@ -318,13 +318,14 @@
   }
 
   /// `named_domain` is the domain whose instances it names above all.
-  peer_digest MakeDigest(time_point now, const std::string& named_domain) {
+  peer_digest MakeDigest(time_point now, const std::string& named_domain,
+                         bool wants_reply) {
     peer_digest digest;
     digest.sender = settings_.peers.self;
     digest.life = life_;
     digest.failure_domain = settings_.peers.failure_domain;
     digest.is_stopping = is_stopping_;
-    digest.is_joining = peers_.IsJoining(now) && !is_stopping_;
+    digest.wants_reply = wants_reply;
     digest.is_following = followers_[0]->IsFollowing() &&
                           now - OwnConfirmedAt(now) < kOwnAnswerTime;
     const peer_view::held_state state = State();
@@ -338,13 +339,16 @@
 
   void SendRound(time_point now) {
     next_round_ = now + settings_.digest_interval;
-    Send(now, peers_.RoundTargets(now), settings_.peers.failure_domain);
+    const std::string& domain = settings_.peers.failure_domain;
+    Send(now, peers_.RoundTargets(now), domain, peers_.IsJoining(now));
+    Send(now, peers_.IntroductionTargets(), domain, true);
   }
 
   void Send(time_point now, std::vector<endpoint> peers,
-            const std::string& named_domain) {
+            const std::string& named_domain, bool wants_reply = false) {
     if (peers.empty()) return;
-    std::string bytes = EncodeDigest(MakeDigest(now, named_domain));
+    std::string bytes =
+        EncodeDigest(MakeDigest(now, named_domain, wants_reply));
     digest_bytes_.Add(bytes.size() * peers.size());
     actions_.send_digest(std::move(peers), std::move(bytes));
   }
--- a/poplarstair/steering/peer_digest.cc
+++ b/poplarstair/steering/peer_digest.cc
@@ -36,15 +36,16 @@
   uint64_t life = 0;
   std::string failure_domain;
   bool is_stopping = false;
-  bool is_joining = false;
+  bool wants_reply = false;
   bool is_following = false;
   std::array<uint64_t, kCollections> revisions{};
   std::array<uint64_t, kCollections> contents{};
   int64_t age_ms = 0;
   std::vector<report_fields> reports;
   std::vector<named_fields> peers;
-  MSGPACK_DEFINE(version, sender, life, failure_domain, is_stopping, is_joining,
-                 is_following, revisions, contents, age_ms, reports, peers)
+  MSGPACK_DEFINE(version, sender, life, failure_domain, is_stopping,
+                 wants_reply, is_following, revisions, contents, age_ms,
+                 reports, peers)
 };
 
 int64_t AgeMs(duration age) {
@@ -59,7 +60,7 @@
   fields.life = digest.life;
   fields.failure_domain = digest.failure_domain;
   fields.is_stopping = digest.is_stopping;
-  fields.is_joining = digest.is_joining;
+  fields.wants_reply = digest.wants_reply;
   fields.is_following = digest.is_following;
   fields.revisions = digest.revisions;
   fields.contents = digest.contents;
@@ -90,7 +91,7 @@
   digest.life = fields.life;
   digest.failure_domain = fields.failure_domain;
   digest.is_stopping = fields.is_stopping;
-  digest.is_joining = fields.is_joining;
+  digest.wants_reply = fields.wants_reply;
   digest.is_following = fields.is_following;
   digest.revisions = fields.revisions;
   digest.contents = fields.contents;
--- a/poplarstair/steering/peer_digest.h
+++ b/poplarstair/steering/peer_digest.h
@@ -32,8 +32,9 @@
   std::string failure_domain;
   /// Draining: it will be gone within seconds.
   bool is_stopping = false;
-  /// The sender asks for digests in return, since it knows few instances.
-  bool is_joining = false;
+  /// The sender asks for a digest in return, since it does not know the
+  /// receiver yet, or knows few instances.
+  bool wants_reply = false;
   /// The sender follows the store itself, and the store answers it.
   bool is_following = false;
   std::array<store_revision, kCollections> revisions{};
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -1,6 +1,7 @@
 #include "poplarstair/steering/peer_view.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace poplarstair {
 
@@ -128,15 +129,17 @@
   for (const auto& [address, known] : members_) {
     if (is_wanted(known)) candidates.push_back(address);
   }
-  const size_t wanted = std::min(count, candidates.size());
-  for (size_t i = 0; i < wanted; ++i) {
-    std::swap(candidates[i],
-              candidates[i + RandomBelow(random_, candidates.size() - i)]);
-  }
-  candidates.resize(wanted);
+  DrawFirst(candidates, std::min(count, candidates.size()));
   return candidates;
 }
 
+void peer_view::DrawFirst(std::vector<endpoint>& from, size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    std::swap(from[i], from[i + RandomBelow(random_, from.size() - i)]);
+  }
+  from.resize(count);
+}
+
 std::vector<endpoint> peer_view::RoundTargets(time_point now) {
   std::vector<endpoint> targets = Draw(true, settings_.fan_out);
   ++round_;
@@ -144,12 +147,14 @@
     const std::vector<endpoint> far = Draw(false, 1);
     targets.insert(targets.end(), far.begin(), far.end());
   }
-  // Bounded, as a large fleet names more than one round can reach.
-  size_t written = 0;
-  for (const auto& [address, since] : rumours_) {
-    if (++written > settings_.fan_out) break;
-    targets.push_back(address);
-  }
+  return targets;
+}
+
+std::vector<endpoint> peer_view::IntroductionTargets() {
+  std::vector<endpoint> targets;
+  for (const auto& [address, since] : rumours_) targets.push_back(address);
+  const size_t wanted = std::min<size_t>(targets.size(), settings_.fan_out);
+  DrawFirst(targets, wanted);
   return targets;
 }
 
@@ -246,6 +251,14 @@
   return rank;
 }
 
+duration peer_view::SpreadTime() const {
+  const double neighbours =
+      static_cast<double>(members_.size() - FarMembers()) + 1;
+  const double rounds =
+      std::log(neighbours) / std::log(settings_.fan_out + 1.0);
+  return duration(static_cast<int64_t>(rounds * settings_.round_time.count()));
+}
+
 bool peer_view::ShouldFollow(time_point now, duration catalog_age,
                              bool is_following) {
   const uint32_t rank = std::min(Rank(kFollowerKey), settings_.highest_rank);
@@ -255,7 +268,8 @@
   }
   if (!is_following) {
     better_since_ = kNever;
-    return catalog_age > settings_.take_over_age + rank * settings_.rank_delay;
+    return catalog_age >
+           settings_.take_over_age + SpreadTime() + rank * settings_.rank_delay;
   }
   // Follows in another's place: until that one's answers arrive steadily.
   const uint64_t own = HashCombine(HashOf(settings_.self), kFollowerKey);
@@ -265,7 +279,8 @@
         return known.is_following &&
                known.failure_domain == settings_.failure_domain &&
                HashCombine(HashOf(address), kFollowerKey) < own &&
-               now - known.confirmed_at < settings_.take_over_age;
+               now - known.confirmed_at <
+                   settings_.take_over_age + SpreadTime();
       });
   if (!better) {
     better_since_ = kNever;
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -32,6 +32,10 @@
   duration take_over_age = std::chrono::milliseconds(900);
   duration rank_delay = std::chrono::milliseconds(300);
   uint32_t highest_rank = 4;
+  /// Time of one round of digests: what one instance knows takes as many as
+  /// the logarithm of its domain's size to reach the others, and is that much
+  /// older there.
+  duration round_time = std::chrono::milliseconds(250);
   /// An instance whose domain has a better one asks no more after this long.
   duration hand_back_after = std::chrono::milliseconds(1500);
   /// Instances of the own domain that a digest goes to in each round.
@@ -67,6 +71,8 @@
 
   /// Whom to send the digest of this round to.
   std::vector<endpoint> RoundTargets(time_point now);
+  /// Instances that others have named and that have not been heard of yet.
+  std::vector<endpoint> IntroductionTargets();
   /// Whom to tell of a change at once.
   std::vector<endpoint> ChangeTargets(bool with_other_domains);
   /// Instances of the own domain, up to a bound.
@@ -123,6 +129,8 @@
 
   void OnNamed(time_point now, const named_peer& named);
   size_t FarMembers() const;
+  /// How long news needs to reach every instance of the own domain.
+  duration SpreadTime() const;
   /// True if collection `i` of `theirs` is another, newer state than `own`.
   static bool IsNewer(const held_state& theirs, const held_state& own,
                       size_t i);
@@ -130,6 +138,8 @@
   /// Members of the own domain that come before this one for `key`.
   uint32_t Rank(uint64_t key) const;
   std::vector<endpoint> Draw(bool own_domain, size_t count);
+  /// Leaves `count` of the elements, drawn at random.
+  void DrawFirst(std::vector<endpoint>& from, size_t count);
   std::vector<endpoint> DrawOf(
       const std::function<bool(const member&)>& is_wanted, size_t count);
 
--- a/unit_tests/steering/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -1,7 +1,7 @@
 // A fleet of cookie-steering instances in virtual time, with a store and a
 // network that the test can break.
-#ifndef POPLARSTAIR_UNIT_TESTS_STEERING_ENTRY_FLEET_H_
-#define POPLARSTAIR_UNIT_TESTS_STEERING_ENTRY_FLEET_H_
+#ifndef POPLARSTAIR_TESTING_ENTRY_FLEET_H_
+#define POPLARSTAIR_TESTING_ENTRY_FLEET_H_
 
 #include <functional>
 #include <map>
@@ -295,4 +295,4 @@
 
 }  // namespace poplarstair
 
-#endif  // POPLARSTAIR_UNIT_TESTS_STEERING_ENTRY_FLEET_H_
+#endif  // POPLARSTAIR_TESTING_ENTRY_FLEET_H_
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -2,7 +2,7 @@
 
 #include <criterion/criterion.h>
 
-#include "unit_tests/steering/entry_fleet.h"
+#include "poplarstair/testing/entry_fleet.h"
 
 using namespace poplarstair;
 using std::chrono::milliseconds;
@@ -35,6 +35,19 @@
   cr_assert_leq(fleet.store_calls - calls, size_t{2 * 3 * 6} * kDomains);
 }
 
+// News took longer to reach everybody in a large domain than instances waited
+// before they asked the store themselves: 55 of 300 did.
+Test(entry_instance, a_large_domain_needs_no_more_followers) {
+  entry_fleet fleet(100, 1, 13);
+  fleet.RunFor(seconds(8));
+  size_t most = 0;
+  for (int i = 0; i < 40; ++i) {
+    fleet.RunFor(milliseconds(250));
+    most = std::max(most, fleet.Followers());
+  }
+  cr_assert_leq(most, 3u);
+}
+
 Test(entry_instance, a_change_reaches_every_instance_at_once) {
   entry_fleet fleet(kInstances, kDomains, 2);
   fleet.RunFor(seconds(6));
