--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 test-sanitize: build-sanitize
 	@ctest --preset sanitize
 
-lint: configure
+lint: build
 	@scripts/lint.sh
 
 format:
--- a/poplarstair/io/http_client.cc
+++ b/poplarstair/io/http_client.cc
@@ -30,8 +30,8 @@
   if (!url.starts_with(kScheme)) throw invalid_address(url);
   const size_t slash = std::min(url.find('/', kScheme.size()), url.size());
   call_target target;
-  target.remote = endpoint::Parse(
-      std::string_view(url).substr(kScheme.size(), slash - kScheme.size()));
+  target.remote =
+      endpoint::Parse(url.substr(kScheme.size(), slash - kScheme.size()));
   target.path = slash == url.size() ? "/" : url.substr(slash);
   return target;
 }
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,17 +2,19 @@
 # Checks formatting, and runs clang-tidy on every source file that has changed
 # since it was found clean: .lint-clean holds a key of the contents of each
 # clean source, of all project headers that it includes, and of the checks.
-# --all runs it on every file.
+# Needs a release build, which knows what each source includes. --all runs
+# clang-tidy on every file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 mapfile -t files < <(git ls-files -co --exclude-standard -- '*.h' '*.cc')
 clang-format --dry-run --Werror "${files[@]}"
 
-config_key=$( (cat .clang-tidy; clang-tidy --version) | sha256sum | cut -c1-16)
-# The build knows what each source includes: "object: deps ..." blocks.
 keys=$(mktemp)
 trap 'rm -f "$keys"' EXIT
+checks=$( (cat .clang-tidy; clang-tidy --version) | sha256sum | cut -c1-16)
+# "object: #deps ..." lines, each followed by an indented line a dependency,
+# become "source header ...".
 ninja -C build/release -t deps |
   awk -v root="$PWD/" '
     /^[^ ].*#deps/ { if (line != "") print line; line = ""; next }
@@ -20,20 +22,26 @@
       if (path !~ /^\//) line = line " " path }
     END { if (line != "") print line }' |
   while read -r source headers; do
+    [ -f "$source" ] || continue
     key=$(cat "$source" $(printf '%s\n' $headers | sort) | sha256sum | cut -c1-24)
-    echo "$source $config_key-$key"
-  done | sort > "$keys"
+    echo "$source $checks-$key"
+  done | sort -u > "$keys"
 
 pending=()
-while read -r source key; do
-  if [ "${1:-}" = --all ] || ! grep -qxF "$source $key" .lint-clean 2>/dev/null; then
+for source in $(git ls-files -co --exclude-standard -- '*.cc'); do
+  line=$(grep -F "$source " "$keys" || true)
+  if [ -z "$line" ]; then
+    echo "lint: the build does not know $source" >&2
+    exit 1
+  fi
+  if [ "${1:-}" = --all ] || ! grep -qxF "$line" .lint-clean 2>/dev/null; then
     pending+=("$source")
   fi
-done < "$keys"
+done
 
 if [ "${#pending[@]}" -gt 0 ]; then
   printf '%s\0' "${pending[@]}" |
     xargs -0 -n 1 -P "$(nproc)" clang-tidy -p build/release --quiet --warnings-as-errors='*' 2>/dev/null
 fi
 cp "$keys" .lint-clean
-echo "lint: ${#files[@]} files formatted, ${#pending[@]} sources checked anew, the others unchanged since they were clean"
+echo "lint: ${#files[@]} files formatted, ${#pending[@]} sources checked, the others unchanged since they were clean"
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -17,25 +17,22 @@
   std::vector<store_revision> replaced;
   std::vector<size_t> replaced_objects;
   std::vector<store_revision> changed;
-  store_follower follower{collection::kServers,
-                          {},
-                          random_source(1),
-                          {[this](const store_request& r) {
-                            calls.push_back(r);
-                          },
-                           [this](store_revision revision, auto objects) {
-                             replaced.push_back(revision);
-                             replaced_objects.push_back(objects.size());
-                           },
-                           [this](store_revision revision, auto) {
-                             changed.push_back(revision);
-                           },
-                           [](const log_record&) {}}};
+  store_follower follower{
+      collection::kServers,
+      {},
+      random_source(1),
+      {[this](const store_request& r) { calls.push_back(r); },
+       [this](store_revision revision, auto objects) {
+         replaced.push_back(revision);
+         replaced_objects.push_back(objects.size());
+       },
+       [this](store_revision revision, auto) { changed.push_back(revision); },
+       [](const log_record&) {}}};
 
   void Answer(time_point now, store_status status, store_revision revision,
               std::vector<store_object> objects = {}, bool has_more = false) {
-    follower.OnReply(now, {calls.back().id, status, revision,
-                           std::move(objects), has_more});
+    follower.OnReply(
+        now, {calls.back().id, status, revision, std::move(objects), has_more});
   }
 };
 
--- /dev/null
+++ b/unit_tests/daemon/entry_file_test.cc
@@ -0,0 +1,80 @@
+#include "poplarstair/daemon/entry_file.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "poplarstair/config/config_error.h"
+
+using namespace poplarstair;
+
+namespace {
+
+constexpr const char* kGood = R"(
+[instance]
+steering = "cookie"
+name = "entry-1"
+failure_domain = "a"
+[listen]
+packets = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+digests = "10.1.0.10:7720"
+metrics = "10.1.0.10:9464"
+[store]
+address = "10.200.1.7:8169"
+[peers]
+seeds = ["10.1.0.10:8166", "10.2.0.40:8166"]
+)";
+
+std::string Replaced(std::string text, const std::string& what,
+                     const std::string& with) {
+  return text.replace(text.find(what), what.size(), with);
+}
+
+/// The keys of all problems in a file.
+std::vector<std::string> ProblemsOf(const std::string& text) {
+  std::vector<std::string> keys;
+  try {
+    ParseEntryFile(text, "entry.toml");
+  } catch (const config_error& failure) {
+    for (const config_problem& p : failure.Problems()) keys.push_back(p.key);
+  }
+  return keys;
+}
+
+bool Has(const std::vector<std::string>& keys, const std::string& key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
+}  // namespace
+
+Test(entry_file, reads_every_key) {
+  cr_assert(IsEntryFile(kGood, "entry.toml"));
+  const entry_file settings = ParseEntryFile(kGood, "entry.toml");
+  cr_assert_eq(settings.name, "entry-1");
+  cr_assert_eq(settings.store, endpoint::Parse("10.200.1.7:8169"));
+  cr_assert_eq(settings.seeds.size(), 2u);
+  cr_assert_eq(settings.leave_time, duration(std::chrono::milliseconds(2500)));
+}
+
+Test(entry_file, seeds_may_be_empty) {
+  const std::string text =
+      Replaced(kGood, R"(["10.1.0.10:8166", "10.2.0.40:8166"])", "[]");
+  cr_assert(ParseEntryFile(text, "entry.toml").seeds.empty());
+}
+
+Test(entry_file, names_all_that_is_wrong) {
+  std::string text = Replaced(kGood, "name = \"entry-1\"\n", "");
+  text = Replaced(text, "10.1.0.10:8167", "nowhere");
+  text = Replaced(text, "[store]\naddress", "[store]\nadress");
+  const auto keys = ProblemsOf(text);
+  cr_assert(Has(keys, "instance.name"));
+  cr_assert(Has(keys, "listen.ready"));
+  cr_assert(Has(keys, "store.address"));
+  cr_assert(Has(keys, "store.adress"));
+}
+
+Test(entry_file, another_kind_of_settings_is_told_apart) {
+  cr_assert_not(IsEntryFile("[instance]\nname = \"a\"\n", "daemon.toml"));
+}
--- a/unit_tests/io/http_test.cc
+++ b/unit_tests/io/http_test.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "poplarstair/emulator/platform_emulator.h"
 #include "poplarstair/io/http_client.h"
@@ -51,6 +52,39 @@
   cr_assert_eq(read.body, "two");
 }
 
+Test(http_client, tells_a_missing_answer_from_one) {
+  event_loop loop;
+  std::vector<http_responder> kept;
+  http_server server(loop, kAnyPort,
+                     [&](const http_request& request, auto respond) {
+                       // Never answered, but not closed either.
+                       if (request.path == "/silent")
+                         return kept.push_back(respond);
+                       respond({200, {}, request.path});
+                     });
+  http_client client(loop);
+  std::vector<std::string> answers;
+  const auto call = [&](const std::string& path) {
+    http_call wanted;
+    wanted.url = "http://" + server.Local().ToString() + path;
+    wanted.timeout = std::chrono::milliseconds(50);
+    client.Start(wanted, [&](const std::optional<http_reply>& reply) {
+      answers.push_back(reply ? reply->body : "none");
+      loop.Stop();
+    });
+    loop.Run();
+  };
+  call("/a");
+  call("/silent");
+  // A connection whose answer is missing is not used again.
+  call("/b");
+  call("/c");
+  cr_assert_eq(answers, (std::vector<std::string>{"/a", "none", "/b", "/c"}));
+  client.CloseIdle();
+  call("/d");
+  cr_assert_eq(answers.back(), "/d");
+}
+
 Test(http_server, answers_a_malformed_request_with_an_error) {
   event_loop loop;
   http_server server(loop, kAnyPort, [](const http_request&, auto respond) {
--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -41,14 +41,19 @@
 Test(store_codec, names_each_call) {
   const endpoint store = endpoint::Parse("10.200.1.7:8169");
   store_request request = ListOf(collection::kServers);
-  cr_assert_eq(ToStoreCall(request, store).url, std::string("http://10.200.1.7:8169/objects/servers"));
+  cr_assert_eq(ToStoreCall(request, store).url,
+               std::string("http://10.200.1.7:8169/objects/servers"));
   request.after = "i-7";
-  cr_assert_eq(ToStoreCall(request, store).url, std::string("http://10.200.1.7:8169/objects/servers?after=i-7"));
+  cr_assert_eq(ToStoreCall(request, store).url,
+               std::string("http://10.200.1.7:8169/objects/servers?after=i-7"));
   request.operation = store_operation::kWatch;
   request.what = collection::kWithdrawals;
   request.revision = 530;
   request.wait = std::chrono::seconds(5);
-  cr_assert_eq(ToStoreCall(request, store).url, std::string("http://10.200.1.7:8169/objects/evacuations?watch=530&wait_ms=5000"));
+  cr_assert_eq(
+      ToStoreCall(request, store).url,
+      std::string(
+          "http://10.200.1.7:8169/objects/evacuations?watch=530&wait_ms=5000"));
 }
 
 Test(store_codec, reads_the_configuration) {
