Ask the seeds in one place; read the held state once a look for news

The loop over the seeds stood twice in peer_view, and entry_instance computed its held state anew for each of three collections. Behaviour as before: steering tests 33 of 33, lint clean.

--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -278,9 +278,10 @@
   }
 
   void FetchNewer(time_point now) {
+    const peer_view::held_state state = State();
     for (const collection what : kAllCollections) {
       if (fetching_[Index(what)]) continue;
-      const auto peer = peers_.NewerThan(what, State());
+      const auto peer = peers_.NewerThan(what, state);
       if (!peer) {
         behind_[Index(what)] = {};
         continue;
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -20,6 +20,10 @@
 
 void peer_view::Start(time_point now) {
   started_at_ = now;
+  AskSeeds(now);
+}
+
+void peer_view::AskSeeds(time_point now) {
   for (const endpoint& seed : settings_.seeds) {
     if (seed != settings_.self) rumours_[seed] = now;
   }
@@ -108,11 +112,7 @@
   std::erase_if(rumours_, [now](const auto& rumour) {
     return now - rumour.second > kRumourTime;
   });
-  if (rumours_.empty() && members_.empty()) {
-    for (const endpoint& seed : settings_.seeds) {
-      if (seed != settings_.self) rumours_[seed] = now;
-    }
-  }
+  if (rumours_.empty() && members_.empty()) AskSeeds(now);
 }
 
 std::vector<endpoint> peer_view::Draw(bool own_domain, size_t count) {
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -127,6 +127,8 @@
     time_point avoid_until{};
   };
 
+  /// Introduces this instance to the seeds.
+  void AskSeeds(time_point now);
   void OnNamed(time_point now, const named_peer& named);
   size_t FarMembers() const;
   /// How long news needs to reach every instance of the own domain.
