Instances that start take the catalog from others, not from the store

Cause: each start listed all collections at the store (four calls with 600 backend servers), and an instance whose list took longer than a tick began to follow the store, since the age of a missing catalog was counted from zero. While the store was away, or a domain cut off from it, all instances beyond rank 4 called it at the same moment and watched it for seconds afterwards.

Change: catalog_start decides where an instance that starts takes its catalog from: an instance of its own domain that the seeds name; the store after 60 ms without an answer, at once if the one that answers has just started too, and if nobody's catalog is fresh. At a first start only the followers ask the store. One instance more asks a store that is away every 300 ms, up to rank 16.

Ruled out: stale reads, a tenth of the price, since they may bring back a server that has left.

--- a/poplarstair/daemon/entry_daemon.cc
+++ b/poplarstair/daemon/entry_daemon.cc
@@ -50,6 +50,8 @@
     if (fresh == running_ && !asked) return;
     entry_daemon_settings same_but_seeds = fresh;
     same_but_seeds.seeds = running_.seeds;
+    // Said of the start that is over.
+    same_but_seeds.is_first_start = running_.is_first_start;
     const bool needs_restart = !(same_but_seeds == running_);
     if (fresh.seeds != running_.seeds) {
       running_.seeds = fresh.seeds;
@@ -112,9 +114,13 @@
     return MakeNetworkTasks(scope, settings, platform, board, log);
   });
   // Last, as its first calls need the others.
+  entry_daemon_settings next_start = settings;
   root.AddChild("steering", [&](event_loop& scope) {
-    return std::make_unique<steering_task>(scope, settings, platform, board,
-                                           log);
+    auto steering = std::make_unique<steering_task>(scope, next_start, platform,
+                                                    board, log);
+    // A task that the supervisor starts anew finds others at work.
+    next_start.is_first_start = false;
+    return steering;
   });
   lines.Flush();
 
--- a/poplarstair/daemon/entry_daemon_settings.cc
+++ b/poplarstair/daemon/entry_daemon_settings.cc
@@ -50,6 +50,7 @@
   });
   ReadTable(root, "peers", problems, [&](toml_reader& reader) {
     settings.seeds = reader.Endpoints("seeds");
+    settings.is_first_start = reader.Bool("first_start", false);
   });
   if (root.Table("stop") != nullptr) {
     ReadTable(root, "stop", problems, [&](toml_reader& reader) {
--- a/poplarstair/daemon/entry_daemon_settings.h
+++ b/poplarstair/daemon/entry_daemon_settings.h
@@ -29,6 +29,9 @@
   endpoint store;
   /// Control addresses of some instances, for the first digests.
   std::vector<endpoint> seeds;
+  /// True if the whole system starts for the first time: no instance has a
+  /// catalog to hand over.
+  bool is_first_start = false;
   /// How long packets are still forwarded after the fabric has been told. It
   /// asks twice a second and turns away after two refusals.
   duration leave_time = std::chrono::milliseconds(2500);
--- a/poplarstair/daemon/steering_task.cc
+++ b/poplarstair/daemon/steering_task.cc
@@ -28,7 +28,7 @@
 constexpr duration kPauseLimit = std::chrono::milliseconds(1000);
 /// Reading the two clocks one after the other differs by far less.
 constexpr duration kSuspensionLimit = std::chrono::milliseconds(200);
-/// Handshakes that are due sooner are checked together.
+/// Handshakes and steps of the start that are due sooner are done together.
 constexpr duration kLeastTimer = std::chrono::milliseconds(5);
 /// Batches that one turn of the loop handles, so that timers are not starved.
 constexpr int kBatchesPerTurn = 4;
@@ -39,6 +39,7 @@
   settings.peers.self = file.control;
   settings.peers.failure_domain = file.failure_domain;
   settings.peers.seeds = file.seeds;
+  settings.start.is_first_start = file.is_first_start;
   return settings;
 }
 
@@ -70,13 +71,14 @@
                  [this](io_watcher::readiness) { OnReadable(); }),
         caller_port_(settings.packets.port),
         ticker_(loop, [this] { OnTick(); }),
-        handshake_timer_(loop, [this] { OnHandshakeTimer(); }) {
+        timer_(loop, [this] { OnTimer(); }) {
     board_.steering.Bind(
         loop, [this](steering_message message) { OnMessage(message); });
     watcher_.WaitFor({true, false});
     suspended_ = SuspendedTime();
     last_tick_ = loop_.Now();
     instance_.Start(last_tick_);
+    ArmTimer(last_tick_);
     ticker_.StartRepeating(entry_instance::kTickInterval);
   }
 
@@ -116,26 +118,26 @@
       const time_point now = loop_.Now();
       for (const datagram& d : received) OnPacket(now, d.bytes);
       SendOut();
-      ArmHandshakeTimer(now);
+      ArmTimer(now);
       // The rest, if any, wakes the loop again: a call less for each packet.
       if (received.size() < udp_batch::kMaxDatagrams) return;
     }
   }
 
-  void ArmHandshakeTimer(time_point now) {
+  void ArmTimer(time_point now) {
     if (is_armed_) return;
-    const time_point due = instance_.NextHandshakeCheck();
+    const time_point due = instance_.NextTimer(now);
     if (due == kNever) return;
     is_armed_ = true;
-    handshake_timer_.StartOnce(std::max(due - now, kLeastTimer));
+    timer_.StartOnce(std::max(due - now, kLeastTimer));
   }
 
-  void OnHandshakeTimer() {
+  void OnTimer() {
     is_armed_ = false;
     const time_point now = loop_.Now();
-    instance_.OnHandshakeTimer(now);
+    instance_.OnTimer(now);
     SendOut();
-    ArmHandshakeTimer(now);
+    ArmTimer(now);
   }
 
   void OnPacket(time_point now, std::span<const uint8_t> bytes) {
@@ -236,7 +238,7 @@
   io_watcher watcher_;
   const uint16_t caller_port_;
   timer_watcher ticker_;
-  timer_watcher handshake_timer_;
+  timer_watcher timer_;
   bool is_armed_ = false;
   udp_batch batch_;
   udp_batch sender_;
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -26,6 +26,7 @@
         actions_(std::move(actions)),
         replica_(actions_.log),
         peers_(settings.peers, random_source(random()), actions_.log),
+        start_(settings.start),
         steering_(settings.steering, random_source(random()), metrics,
                   SteeringHooks()),
         store_calls_(metrics.Counter("store_calls", "Calls to the store")),
@@ -44,7 +45,7 @@
     started_at_ = now;
     last_tick_ = now;
     peers_.Start(now);
-    for (const auto& follower : followers_) follower->Load();
+    start_.Begin(now);
     SendRound(now);
   }
 
@@ -54,13 +55,14 @@
     return steering_.OnSegment(now, packet, bytes);
   }
 
-  void OnHandshakeTimer(time_point now) {
+  void OnTimer(time_point now) {
     now_ = now;
     steering_.OnHandshakeTimer(now);
+    ContinueStart(now);
   }
 
-  time_point NextHandshakeCheck() const {
-    return steering_.NextHandshakeCheck();
+  time_point NextTimer(time_point now) const {
+    return std::min(steering_.NextHandshakeCheck(), start_.NextChange(now));
   }
 
   void OnStoreReply(time_point now, store_reply reply) {
@@ -85,6 +87,7 @@
       Send(now, {digest.sender}, digest.failure_domain);
     }
     RaiseRevisions(digest);
+    if (start_.IsAwaiting()) OnStartAnswer(now, digest);
     FetchNewer(now);
     UpdateConfirmed(now);
   }
@@ -92,10 +95,7 @@
   void OnFetched(time_point now, const endpoint& peer, collection what,
                  std::string_view exported) {
     fetching_[Index(what)] = false;
-    if (exported.empty()) {
-      peers_.OnFetchFailed(now, peer);
-      return;
-    }
+    if (exported.empty()) return OnFetchFailed(now, peer);
     try {
       if (replica_.Import(now, what, exported)) OnCatalogChange(now, false);
     } catch (const malformed_message& failure) {
@@ -103,7 +103,7 @@
                        .With("peer", peer.ToString())
                        .With("collection", NameOf(what))
                        .With("error", failure.what()));
-      peers_.OnFetchFailed(now, peer);
+      OnFetchFailed(now, peer);
     }
     UpdateConfirmed(now);
   }
@@ -128,6 +128,7 @@
     steering_.SetHasNeighbours(peers_.HasNeighbours());
     for (const auto& follower : followers_) follower->OnTick(now);
     UpdateConfirmed(now);
+    ContinueStart(now);
     UpdateFollowing(now);
     FetchNewer(now);
     steering_.OnTick(now);
@@ -183,6 +184,44 @@
 
   static size_t Index(collection what) { return static_cast<size_t>(what); }
 
+  bool IsFresh(duration age) const {
+    return age <= settings_.steering.fresh_enough;
+  }
+
+  /// The answer of another instance to the first digest of this one.
+  void OnStartAnswer(time_point now, const peer_digest& digest) {
+    const auto& theirs = digest.revisions;
+    const bool is_complete =
+        std::find(theirs.begin(), theirs.end(), 0U) == theirs.end();
+    start_.OnAnswer(now, is_complete && IsFresh(digest.age));
+    // The seeds name instances of the own domain: those hand the catalog over.
+    if (digest.failure_domain == settings_.peers.failure_domain) return;
+    Send(now, peers_.IntroductionTargets(), settings_.peers.failure_domain,
+         true);
+  }
+
+  void OnFetchFailed(time_point now, const endpoint& peer) {
+    peers_.OnFetchFailed(now, peer);
+    start_.OnFetchFailed(now);
+    ContinueStart(now);
+  }
+
+  void ContinueStart(time_point now) {
+    if (!start_.IsAwaiting() || is_stopping_) return;
+    if (replica_.IsComplete() && IsFresh(now - confirmed_at_)) {
+      start_.OnComplete();
+      return;
+    }
+    if (start_.TakeStoreCall(now)) {
+      actions_.log(log_record("catalog_asked_of_store")
+                       .With("instances", peers_.Size() + 1)
+                       .With("ms", (now - started_at_).count() / 1000));
+      listing_since_ = now;
+      for (const auto& follower : followers_) follower->Load();
+    }
+    FetchNewer(now);
+  }
+
   flow_steering::hooks SteeringHooks() {
     flow_steering::hooks result;
     result.log = actions_.log;
@@ -299,8 +338,10 @@
   void UpdateFollowing(time_point now) {
     if (is_stopping_) return;
     const bool is_following = followers_[0]->IsFollowing();
-    const bool should =
-        peers_.ShouldFollow(now, now - confirmed_at_, is_following);
+    // Without any catalog, its age counts from the start.
+    const bool has_none = !replica_.IsComplete();
+    const duration age = now - (has_none ? started_at_ : confirmed_at_);
+    const bool should = peers_.ShouldFollow(now, age, is_following);
     if (should == is_following) return;
     actions_.log(log_record(should ? "follows_store" : "leaves_store_to_peers")
                      .With("age_ms", AgeMs(now))
@@ -342,11 +383,12 @@
   bool IsListedSoon(time_point now, collection what) const {
     return replica_.Revision(what) == 0 &&
            followers_[Index(what)]->IsListing() &&
-           now - started_at_ < settings_.first_list_time;
+           now - listing_since_ < settings_.first_list_time;
   }
 
   /// True if the store or the own domain will tell what a peer knows already.
   bool IsHeardSoon(time_point now, collection what, bool is_own_domain) {
+    if (!is_own_domain && start_.PrefersOwnDomain(now)) return true;
     store_follower& follower = *followers_[Index(what)];
     const duration behind = now - behind_[Index(what)].since;
     if (!follower.IsFollowing() ||
@@ -417,6 +459,7 @@
   const hooks actions_;
   catalog_replica replica_;
   peer_view peers_;
+  catalog_start start_;
   flow_steering steering_;
   std::array<std::unique_ptr<store_follower>, kCollections> followers_;
   metric& store_calls_;
@@ -429,6 +472,7 @@
   /// Time of the event under way, for hooks that are called within it.
   time_point now_{};
   time_point started_at_{};
+  time_point listing_since_{};
   time_point last_tick_{};
   time_point next_round_{};
   time_point confirmed_at_{};
@@ -445,11 +489,9 @@
                                          std::span<const uint8_t> bytes) {
   return impl_->OnSegment(now, packet, bytes);
 }
-void entry_instance::OnHandshakeTimer(time_point now) {
-  impl_->OnHandshakeTimer(now);
-}
-time_point entry_instance::NextHandshakeCheck() const {
-  return impl_->NextHandshakeCheck();
+void entry_instance::OnTimer(time_point now) { impl_->OnTimer(now); }
+time_point entry_instance::NextTimer(time_point now) const {
+  return impl_->NextTimer(now);
 }
 void entry_instance::OnStoreReply(time_point now, store_reply reply) {
   impl_->OnStoreReply(now, std::move(reply));
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -9,6 +9,7 @@
 
 #include "poplarstair/catalog/store_follower.h"
 #include "poplarstair/core/counters.h"
+#include "poplarstair/steering/catalog_start.h"
 #include "poplarstair/steering/flow_steering.h"
 #include "poplarstair/steering/peer_view.h"
 
@@ -18,6 +19,7 @@
   steering_settings steering;
   follower_settings follower;
   peer_view_settings peers;
+  catalog_start_settings start;
   /// How long a watch may lack what another instance knows already; an answer
   /// takes some milliseconds,
   /// and changes are gathered before each call.
@@ -25,8 +27,9 @@
   /// How long an instance waits for its own domain before it fetches from
   /// another one: bytes between domains are dear.
   duration far_fetch_after = std::chrono::milliseconds(600);
-  /// How long an instance that starts waits for the store's first list before
-  /// it asks others for the same; a list takes some tens of milliseconds.
+  /// How long an instance that starts waits for the list that it has asked of
+  /// the store before it asks others for the same; a list takes some tens of
+  /// milliseconds.
   duration first_list_time = std::chrono::milliseconds(150);
   /// Time between digests to other instances.
   duration digest_interval = std::chrono::milliseconds(250);
@@ -67,8 +70,8 @@
   /// As flow_steering::OnSegment.
   steer_decision OnSegment(time_point now, const segment& packet,
                            std::span<const uint8_t> bytes);
-  /// To be called when NextHandshakeCheck is due.
-  void OnHandshakeTimer(time_point now);
+  /// To be called when NextTimer is due.
+  void OnTimer(time_point now);
   void OnStoreReply(time_point now, store_reply reply);
   /// Throws malformed_message.
   void OnDigest(time_point now, std::string_view bytes);
@@ -84,8 +87,9 @@
   void OnStop(time_point now);
   void SetSeeds(std::vector<endpoint> seeds);
 
-  /// kNever if no handshake is under way.
-  time_point NextHandshakeCheck() const;
+  /// When a handshake or a step of the start is due; kNever if there is none.
+  /// It can change with each event.
+  time_point NextTimer(time_point now) const;
 
   static constexpr duration kTickInterval = flow_steering::kTickInterval;
 
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -31,7 +31,10 @@
   /// in force.
   duration take_over_age = std::chrono::milliseconds(900);
   duration rank_delay = std::chrono::milliseconds(300);
-  uint32_t highest_rank = 4;
+  /// Every instance beyond this rank waits as long as one that has it. While
+  /// the store is away, or the whole domain is cut off from it, one instance
+  /// more asks after each delay, instead of the whole domain at once.
+  uint32_t highest_rank = 16;
   /// Time of one round of digests: what one instance knows takes as many as
   /// the logarithm of its domain's size to reach the others, and is that much
   /// older there.
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -82,7 +82,9 @@
     store.changed = [this] { AnswerWatches(); };
     SetRoutes(1);
     SetServer(1, server_state::kReady);
+    is_first_start_ = true;
     for (size_t i = 0; i < instances; ++i) Add(i);
+    is_first_start_ = false;
   }
 
   void SetRoutes(uint64_t version) {
@@ -116,11 +118,13 @@
     settings.peers.self = AddressOf(i);
     settings.peers.failure_domain = DomainOf(i);
     settings.peers.seeds = {AddressOf(0), AddressOf(1), AddressOf(2)};
+    settings.start.is_first_start = is_first_start_;
     slot->instance = std::make_unique<entry_instance>(
         settings, ++last_life_, random_source(random_()), slot->metrics,
         HooksOf(i));
     slot->instance->Start(queue.Now());
     Tick(i, slot.get());
+    ArmTimer(i, slot.get());
   }
   void Kill(size_t i) { nodes_[i].reset(); }
 
@@ -134,8 +138,8 @@
     packet.service = endpoint::Parse("198.18.0.1:443");
     packet.opens_flow = true;
     entry_instance& instance = *nodes_.at(i)->instance;
-    if (queue.Now() >= instance.NextHandshakeCheck()) {
-      instance.OnHandshakeTimer(queue.Now());
+    if (queue.Now() >= instance.NextTimer(queue.Now())) {
+      instance.OnTimer(queue.Now());
     }
     return instance.OnSegment(queue.Now(), packet, kBytes);
   }
@@ -181,6 +185,7 @@
     return false;
   };
   size_t store_calls = 0;
+  size_t store_lists = 0;
   size_t digests = 0;
   size_t digest_bytes = 0;
   size_t fetches = 0;
@@ -222,6 +227,17 @@
           });
   }
 
+  /// Runs what is due between two ticks while the instance starts.
+  void ArmTimer(size_t i, const node* owner) {
+    const time_point due = owner->instance->NextTimer(queue.Now());
+    if (due == kNever) return;
+    Later(i, owner, due - queue.Now(),
+          [this, i, owner](entry_instance& instance) {
+            instance.OnTimer(queue.Now());
+            ArmTimer(i, owner);
+          });
+  }
+
   entry_instance::hooks HooksOf(size_t i) {
     entry_instance::hooks hooks;
     hooks.log = [](const log_record&) {};
@@ -264,6 +280,7 @@
 
   void CallStore(size_t i, const store_request& request) {
     ++store_calls;
+    if (request.operation == store_operation::kList) ++store_lists;
     const node* owner = nodes_[i].get();
     if (is_store_down) {
       return Answer(i, owner, request.timeout,
@@ -309,6 +326,7 @@
   }
 
   const size_t domains_;
+  bool is_first_start_ = false;
   random_source random_;
   incarnation last_life_ = 100;
   std::map<size_t, std::unique_ptr<node>> nodes_;
--- a/unit_tests/daemon/entry_daemon_settings_test.cc
+++ b/unit_tests/daemon/entry_daemon_settings_test.cc
@@ -65,6 +65,16 @@
   cr_assert(ParseEntryDaemonSettings(text, "entry.toml").seeds.empty());
 }
 
+Test(entry_daemon_settings, tells_a_first_start_from_a_restart) {
+  cr_assert(!ParseEntryDaemonSettings(kGood, "entry.toml").is_first_start);
+  const std::string first =
+      Replaced(kGood, "[peers]\n", "[peers]\nfirst_start = true\n");
+  cr_assert(ParseEntryDaemonSettings(first, "entry.toml").is_first_start);
+  const std::string wrong =
+      Replaced(kGood, "[peers]\n", "[peers]\nfirst_start = 1\n");
+  cr_assert(Has(ProblemsOf(wrong), "peers.first_start"));
+}
+
 Test(entry_daemon_settings, names_all_that_is_wrong) {
   std::string text = Replaced(kGood, "name = \"entry-1\"\n", "");
   text = Replaced(text, "10.1.0.10:8167", "nowhere");
--- /dev/null
+++ b/unit_tests/steering/catalog_start_test.cc
@@ -0,0 +1,57 @@
+#include "poplarstair/steering/catalog_start.h"
+
+#include <criterion/criterion.h>
+
+using namespace poplarstair;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr time_point kBegin{std::chrono::seconds(10)};
+
+catalog_start Begun(bool is_first_start) {
+  catalog_start_settings settings;
+  settings.is_first_start = is_first_start;
+  catalog_start start(settings);
+  start.Begin(kBegin);
+  return start;
+}
+
+}  // namespace
+
+Test(catalog_start, asks_the_store_once_if_nobody_answers) {
+  catalog_start start = Begun(false);
+  cr_assert(!start.TakeStoreCall(kBegin + milliseconds(59)));
+  cr_assert(start.TakeStoreCall(kBegin + milliseconds(60)));
+  cr_assert(!start.TakeStoreCall(kBegin + milliseconds(600)));
+  cr_assert_eq(start.NextChange(kBegin + milliseconds(600)), kNever);
+}
+
+Test(catalog_start, asks_at_once_if_another_has_just_started_too) {
+  catalog_start start = Begun(false);
+  start.OnAnswer(kBegin + milliseconds(2), false);
+  cr_assert(start.TakeStoreCall(kBegin + milliseconds(2)));
+}
+
+Test(catalog_start, leaves_a_fresh_instance_time_to_hand_over) {
+  catalog_start start = Begun(false);
+  start.OnAnswer(kBegin + milliseconds(2), true);
+  start.OnAnswer(kBegin + milliseconds(3), false);
+  cr_assert(!start.TakeStoreCall(kBegin + milliseconds(400)));
+  start.OnFetchFailed(kBegin + milliseconds(401));
+  cr_assert(start.TakeStoreCall(kBegin + milliseconds(401)));
+}
+
+Test(catalog_start, prefers_the_own_domain_for_a_moment) {
+  catalog_start start = Begun(false);
+  cr_assert(start.PrefersOwnDomain(kBegin + milliseconds(29)));
+  cr_assert_eq(start.NextChange(kBegin), kBegin + milliseconds(30));
+  cr_assert(!start.PrefersOwnDomain(kBegin + milliseconds(30)));
+}
+
+Test(catalog_start, a_first_start_leaves_the_store_to_its_followers) {
+  catalog_start start = Begun(true);
+  start.OnAnswer(kBegin, false);
+  cr_assert(!start.TakeStoreCall(kBegin + std::chrono::seconds(5)));
+  cr_assert_eq(start.NextChange(kBegin), kNever);
+}
