Late second copies of an answer are not taken for the next answer

Cause: HTTP/1.1 does not tell which call an answer belongs to, and the store's connections were shared by all collections. A copy that arrived while the next call was under way could raise the revision of the routes by the servers' answer, so that a change was missed; repeat a page in place of the next one, so that servers vanished; or, between instances, take all withdrawals back.

Change: connections to the store are used again for the same collection only. A follower refuses a page that it has and a watch's answer that tells nothing after its revision. A catalog that is handed over names its collection; older instances leave that out, and ignore it.

--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -88,12 +88,19 @@
   std::vector<object_fields> objects;
   /// Names of objects that are gone.
   std::vector<std::string> removed;
+  /// The collection's number plus one; 0 from instances that do not send it.
+  uint8_t what = 0;
   MSGPACK_DEFINE(revision, since, content, version, idle_timeout_us, profiles,
-                 routes, services, servers, withdrawn_domains, objects, removed)
+                 routes, services, servers, withdrawn_domains, objects, removed,
+                 what)
 };
 
 namespace {
 
+uint8_t NumberOf(collection what) {
+  return static_cast<uint8_t>(static_cast<uint8_t>(what) + 1);
+}
+
 template <typename Enum>
 Enum CheckedEnum(uint8_t value) {
   if (value >= std::size(enum_names<Enum>::kNames)) {
@@ -348,6 +355,7 @@
   collection_fields fields;
   fields.revision = Revision(what);
   fields.content = Digest(what);
+  fields.what = NumberOf(what);
   // The other collections are small, or a single object.
   const bool knows_changes = what == collection::kServers && since != 0 &&
                              since >= changes_from_ && since <= fields.revision;
@@ -409,6 +417,10 @@
 bool catalog_replica::Import(time_point now, collection what,
                              std::string_view exported) {
   const auto fields = DecodeMessage<collection_fields>(exported);
+  // An answer that arrived late, on a connection that was in use again.
+  if (fields.what != 0 && fields.what != NumberOf(what)) {
+    throw malformed_message("catalog", "another collection");
+  }
   if (fields.revision <= Revision(what)) return false;
   if (fields.since != 0) {
     if (what != collection::kServers) {
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -61,6 +61,9 @@
   void OnReply(time_point now, store_reply reply) {
     if (reply.id != awaited_ || awaited_ == 0) return;
     awaited_ = 0;
+    if (reply.status == store_status::kOk && IsEarlierAnswer(reply)) {
+      reply.status = store_status::kMalformed;
+    }
     if (reply.status != store_status::kOk) return OnFailure(now, reply.status);
     if (is_lost_) {
       actions_.log(log_record("store_regained")
@@ -126,6 +129,20 @@
     actions_.call(std::move(request));
   }
 
+  /// True for a second copy of an earlier call's answer, which arrived late on
+  /// a connection that was in use again.
+  bool IsEarlierAnswer(const store_reply& reply) const {
+    if (phase_ == follow_phase::kWatching) {
+      return reply.revision < revision_ ||
+             (reply.revision == revision_ && !reply.objects.empty());
+    }
+    if (listed_.empty() || reply.objects.empty()) return false;
+    const std::string& first = reply.objects.front().name;
+    return std::any_of(
+        listed_.begin(), listed_.end(),
+        [&first](const store_object& known) { return known.name == first; });
+  }
+
   void OnPage(time_point now, store_reply reply) {
     // Later pages may be newer; watching from the first one's revision repeats
     // what they already hold, but misses nothing.
--- a/poplarstair/daemon/store_task.h
+++ b/poplarstair/daemon/store_task.h
@@ -2,6 +2,8 @@
 #ifndef POPLARSTAIR_DAEMON_STORE_TASK_H_
 #define POPLARSTAIR_DAEMON_STORE_TASK_H_
 
+#include <array>
+
 #include "poplarstair/daemon/entry_mailboxes.h"
 #include "poplarstair/daemon/platform_hooks.h"
 #include "poplarstair/daemon/task.h"
@@ -22,7 +24,9 @@
   const endpoint store_;
   const platform_hooks platform_;
   entry_mailboxes& board_;
-  http_client client_;
+  /// One for each collection: connections are used again for the same
+  /// collection only.
+  std::array<http_client, kCollections> clients_;
 };
 
 }  // namespace poplarstair
--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -194,3 +194,16 @@
                first.Digest(collection::kServers));
   cr_assert_eq(second.FetchSince(collection::kServers), 11u);
 }
+
+// An HTTP answer does not tell what it answers: one that came late, on a
+// connection in use again, took all withdrawals back.
+Test(catalog_replica, another_collections_answer_changes_nothing) {
+  catalog_replica first = MakeReplica();
+  first.Replace(kNow, collection::kServers, 6, {Server("i-1", 1)});
+  catalog_replica second = MakeReplica();
+  second.Replace(kNow, collection::kWithdrawals, 5, {{"z2", false, {}, 4}});
+  const std::string servers = first.Export(kNow, collection::kServers, 0);
+  cr_assert_throw(second.Import(kNow, collection::kWithdrawals, servers),
+                  malformed_message);
+  cr_assert_eq(second.Current().withdrawn_domains.size(), 1u);
+}
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -127,3 +127,29 @@
   cr_assert_eq(store.follower.ConfirmedAt(later + std::chrono::seconds(3)),
                kStart);
 }
+
+// A second copy of an answer, late on a connection in use again, must not
+// stand for the answer of the next call.
+Test(store_follower, the_copy_of_a_page_is_no_next_page) {
+  followed_store store;
+  store.follower.Follow(0);
+  store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
+  store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
+  cr_assert(store.replaced.empty());
+  store.follower.OnTick(kStart + milliseconds(300));
+  cr_assert_eq(store.calls.back().after, "", "the list begins anew");
+  store.Answer(kStart, store_status::kOk, 11, {{"a", false, {}}}, true);
+  store.Answer(kStart, store_status::kOk, 11, {{"b", false, {}}});
+  cr_assert_eq(store.replaced_objects.at(0), 2u);
+}
+
+Test(store_follower, the_copy_of_a_watchs_answer_tells_nothing) {
+  followed_store store;
+  store.follower.Follow(40);
+  store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
+  store.follower.OnTick(kStart + milliseconds(400));
+  const time_point later = kStart + milliseconds(500);
+  store.Answer(later, store_status::kOk, 44, {{"a", true, {}}});
+  cr_assert_eq(store.changed.size(), 1u);
+  cr_assert_lt(store.follower.ConfirmedAt(later), later);
+}
