A catalog that is old is not taken from others at a start

Cause: an instance that started beside others whom the store had turned away for seconds took over their catalog at once, and placed flows by it until the store answered: a server that had left could be in use again for some 100 ms.

--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -358,9 +358,14 @@
 
   void FetchNewer(time_point now) {
     const peer_view::held_state state = State();
+    // An old catalog would put servers that have left in use again: it is taken
+    // only if the store does not answer.
+    const time_point confirmed_since =
+        start_.IsAwaiting() ? now - settings_.steering.fresh_enough
+                            : time_point::min();
     for (const collection what : kAllCollections) {
       if (fetching_[Index(what)] || IsListedSoon(now, what)) continue;
-      const auto peer = peers_.NewerThan(what, state);
+      const auto peer = peers_.NewerThan(what, state, confirmed_since);
       if (!peer) {
         behind_[Index(what)] = {};
         continue;
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -220,12 +220,13 @@
 }
 
 std::optional<peer_view::newer_peer> peer_view::NewerThan(
-    collection what, const held_state& own) const {
+    collection what, const held_state& own, time_point confirmed_since) const {
   const auto index = static_cast<size_t>(what);
   std::optional<newer_peer> best;
   std::pair<bool, time_point> best_merit{};
   for (const auto& [address, known] : members_) {
     if (!IsNewer(known.state, own, index)) continue;
+    if (known.confirmed_at < confirmed_since) continue;
     if (known.avoid_until > known.last_heard) continue;
     const std::pair merit(known.failure_domain == settings_.failure_domain,
                           known.last_heard);
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -122,9 +122,10 @@
     store_revision revision = 0;
   };
   /// An instance that holds another, newer state of the collection, of the own
-  /// domain if there is one.
-  std::optional<newer_peer> NewerThan(collection what,
-                                      const held_state& own) const;
+  /// domain if there is one. The store has confirmed that instance's catalog
+  /// since `confirmed_since`.
+  std::optional<newer_peer> NewerThan(collection what, const held_state& own,
+                                      time_point confirmed_since) const;
   /// A fetch from the instance has failed: others are asked first.
   void OnFetchFailed(time_point now, const endpoint& peer);
 
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -287,7 +287,10 @@
   fleet.Kill(8);
   fleet.refused.erase(8);
   fleet.Add(8);
-  fleet.RunFor(milliseconds(100));
+  for (int i = 0; i < 20; ++i) {
+    fleet.RunFor(milliseconds(5));
+    cr_assert(!fleet.Knows(8, 1), "old routes in force after %d ms", 5 * i);
+  }
   cr_assert(fleet.Knows(8, 2));
 }
 
