--- a/poplarstair/daemon/entry_daemon.cc
+++ b/poplarstair/daemon/entry_daemon.cc
@@ -50,7 +50,7 @@
     if (fresh == running_ && !asked) return;
     entry_daemon_settings same_but_seeds = fresh;
     same_but_seeds.seeds = running_.seeds;
-    // Said of the start that is over.
+    // Matters only while the process starts.
     same_but_seeds.is_first_start = running_.is_first_start;
     const bool needs_restart = !(same_but_seeds == running_);
     if (fresh.seeds != running_.seeds) {
--- a/poplarstair/steering/catalog_start.h
+++ b/poplarstair/steering/catalog_start.h
@@ -35,8 +35,9 @@
   void OnAnswer(time_point now, bool has_fresh_catalog);
   /// A hand-over has failed.
   void OnFetchFailed(time_point now);
-  /// The catalog is complete and fresh: nothing has to be decided any more.
-  void OnComplete() { is_over_ = true; }
+  /// The catalog is complete and fresh, or the instance stops: nothing has to
+  /// be decided any more.
+  void End() { is_over_ = true; }
 
   /// True once: nobody hands over a fresh catalog in time.
   bool TakeStoreCall(time_point now);
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -138,6 +138,7 @@
 
   void OnStop(time_point now) {
     is_stopping_ = true;
+    start_.End();
     Send(now, peers_.AllNeighbours(), settings_.peers.failure_domain);
     for (const auto& follower : followers_) follower->Stop();
   }
@@ -207,9 +208,9 @@
   }
 
   void ContinueStart(time_point now) {
-    if (!start_.IsAwaiting() || is_stopping_) return;
+    if (!start_.IsAwaiting()) return;
     if (replica_.IsComplete() && IsFresh(now - confirmed_at_)) {
-      start_.OnComplete();
+      start_.End();
       return;
     }
     if (start_.TakeStoreCall(now)) {
--- a/unit_tests/steering/catalog_start_test.cc
+++ b/unit_tests/steering/catalog_start_test.cc
@@ -55,3 +55,11 @@
   cr_assert(!start.TakeStoreCall(kBegin + std::chrono::seconds(5)));
   cr_assert_eq(start.NextChange(kBegin), kNever);
 }
+
+// A timer that stays due while the instance stops would keep it busy.
+Test(catalog_start, nothing_is_due_after_its_end) {
+  catalog_start start = Begun(false);
+  start.End();
+  cr_assert_eq(start.NextChange(kBegin + milliseconds(100)), kNever);
+  cr_assert(!start.TakeStoreCall(kBegin + milliseconds(100)));
+}
