--- a/unit_tests/daemon/store_task_test.cc
+++ b/unit_tests/daemon/store_task_test.cc
@@ -42,8 +42,7 @@
     added->stream = std::make_unique<tcp_stream>(
         loop_, std::move(accepted),
         tcp_stream::hooks{
-            [this, added](std::string_view bytes) { Answer(*added, bytes); },
-            [] {}});
+            [added](std::string_view bytes) { Answer(*added, bytes); }, [] {}});
   }
 
   static void Answer(caller& to, std::string_view request) {
