--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -250,7 +250,7 @@
     cr_assert(fleet.Knows(i, 1), "instance %zu has no routes", i);
     fleet.RunFor(milliseconds(400));
     // In a second, three followers may renew three watches each.
-    cr_expect_leq(fleet.store_calls - calls, 3u * 3u);
+    cr_expect_leq(fleet.store_calls - calls, size_t{3} * 3);
   }
 }
 
@@ -261,7 +261,7 @@
     cr_assert_eq(fleet.Behind(1), 0u);
     // Three lists, and three watches renewed twice, a follower a domain; twice
     // that is allowed for changes of the follower.
-    cr_assert_leq(fleet.store_calls, 2 * (3 + 6) * kDomains);
+    cr_assert_leq(fleet.store_calls, size_t{2} * (3 + 6) * kDomains);
   }
 }
 
