A copied entry no longer takes over a server's row

Cause: the adapter took the id from the hex digits after the last dash of any name, so that both entries wrote one row of server_set, the later name last; the row's address is where open flows go. And every readable entry was taken for a server, whether or not the configuration names its service.

Ruled out: a wrong choice at the second request. The flow's record kept its row; the row's address had changed.

A row follows the entry that describes it; of two entries with one id, one of a known service counts, then the shorter and lesser name, whatever was learnt first. Entries of an unknown service get no new flows, but keep a row of their own: open flows outlive the service's name in the configuration. server_entry_rejected logs it.

Before: flow_steering a_copied_entry_moves_no_flow_of_the_server and store_codec a_name_that_is_no_id_is_unreadable failed.

--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -68,11 +68,19 @@
 
   void OnCatalog(time_point now, const catalog& current) {
     if (complete_since_ == kNever) complete_since_ = now;
-    for (const server_row row : servers_.Update(now, current)) {
+    const server_changes changes = servers_.Update(now, current);
+    for (const server_row row : changes.restarted) {
       actions_.log(log_record("server_started_anew")
                        .With("server", ServerName(servers_.At(row).id)));
       estimates_.Forget(row);
     }
+    for (const rejected_entry& entry : changes.rejected) {
+      actions_.log(log_record("server_entry_rejected", log_level::kWarning)
+                       .With("name", entry.name)
+                       .With("service", entry.service)
+                       .With("reason", NameOf(entry.reason))
+                       .With("routes_version", current.routes.version));
+    }
     estimates_.Resize(servers_.Size());
     routes_.Update(current.routes);
     services_.clear();
--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -1,9 +1,33 @@
 #include "poplarstair/steering/server_set.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
+#include <tuple>
 
 namespace poplarstair {
 
+namespace {
+
+/// All services that the configuration names.
+absl::flat_hash_set<std::string_view> ServicesOf(const route_table& table) {
+  absl::flat_hash_set<std::string_view> services;
+  for (const service_limits& s : table.services) services.insert(s.name);
+  for (const service_route& route : table.routes) {
+    for (const weighted_service& s : route.services) services.insert(s.service);
+  }
+  return services;
+}
+
+/// Order of two entries with one id, the same at every instance.
+bool Precedes(bool is_service_known, std::string_view name,
+              bool is_other_service_known, std::string_view other) {
+  return std::tuple(!is_service_known, name.size(), name) <
+         std::tuple(!is_other_service_known, other.size(), other);
+}
+
+}  // namespace
+
 flow_cookie server_set::CookieOf(backend_server_id id) {
   // The seed makes cookies independent of other hashes of the same ids.
   constexpr uint64_t kCookieSeed = 0x636f6f6b6965;
@@ -33,24 +57,68 @@
   return it->second;
 }
 
-std::vector<server_row> server_set::Update(time_point now,
-                                           const catalog& current) {
-  std::vector<server_row> reborn;
+bool server_set::MayDescribe(const description& candidate) const {
+  const server_row row = FindId(candidate.entry->id);
+  if (row == kNoServer) return true;
+  const known_server& server = rows_[row];
+  return candidate.name == server.entry_name ||
+         Precedes(candidate.is_service_known, candidate.name,
+                  server.is_service_known, server.entry_name);
+}
+
+std::vector<server_set::description> server_set::SelectEntries(
+    const catalog& current, std::vector<rejected_entry>& rejected) const {
+  const auto services = ServicesOf(current.routes);
+  absl::flat_hash_map<backend_server_id, size_t> chosen;
+  std::vector<description> selected;
+  const auto reject = [&rejected](const description& d, entry_rejection why) {
+    rejected.push_back({std::string(d.name), d.entry->service, why});
+  };
+  for (const auto& [name, entry] : current.servers) {
+    description candidate{name, &entry, services.contains(entry.service)};
+    if (!MayDescribe(candidate)) {
+      reject(candidate, entry_rejection::kDuplicateId);
+      continue;
+    }
+    const auto [it, is_first] = chosen.try_emplace(entry.id, selected.size());
+    if (is_first) {
+      selected.push_back(candidate);
+      continue;
+    }
+    description& other = selected[it->second];
+    if (Precedes(candidate.is_service_known, name, other.is_service_known,
+                 other.name)) {
+      std::swap(candidate, other);
+    }
+    reject(candidate, entry_rejection::kDuplicateId);
+  }
+  for (const description& d : selected) {
+    if (!d.is_service_known) reject(d, entry_rejection::kUnknownService);
+  }
+  return selected;
+}
+
+server_changes server_set::Update(time_point now, const catalog& current) {
+  server_changes changes;
+  std::vector<rejected_entry> rejected;
   std::vector<bool> is_listed(rows_.size(), false);
   const auto& withdrawn = current.withdrawn_domains;
-  for (const auto& [name, entry] : current.servers) {
+  for (const description& d : SelectEntries(current, rejected)) {
+    const server_entry& entry = *d.entry;
     const server_row row = RowOf(entry.id);
     is_listed.resize(rows_.size(), false);
     is_listed[row] = true;
     known_server& server = rows_[row];
     if (server.born_ms != 0 && server.born_ms != entry.born_ms) {
-      reborn.push_back(row);
+      changes.restarted.push_back(row);
     }
     if (server.service != entry.service) {
       std::erase(by_service_[server.service], row);
       by_service_[entry.service].push_back(row);
       server.service = entry.service;
     }
+    server.entry_name = d.name;
+    server.is_service_known = d.is_service_known;
     server.address = entry.address;
     server.failure_domain = entry.failure_domain;
     server.state = entry.state;
@@ -67,7 +135,16 @@
     }
   }
   NoteTakenAddresses();
-  return reborn;
+  absl::flat_hash_map<std::string, entry_rejection> reasons;
+  for (rejected_entry& entry : rejected) {
+    const auto before = rejected_.find(entry.name);
+    reasons[entry.name] = entry.reason;
+    if (before == rejected_.end() || before->second != entry.reason) {
+      changes.rejected.push_back(std::move(entry));
+    }
+  }
+  rejected_ = std::move(reasons);
+  return changes;
 }
 
 void server_set::NoteTakenAddresses() {
--- a/poplarstair/steering/server_set.h
+++ b/poplarstair/steering/server_set.h
@@ -7,9 +7,11 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "poplarstair/catalog/catalog.h"
+#include "poplarstair/core/enum_names.h"
 #include "poplarstair/steering/segment.h"
 
 namespace poplarstair {
@@ -22,9 +24,13 @@
 /// A backend server as the catalog last described it.
 struct known_server {
   backend_server_id id;
+  /// Name of the catalog entry that describes it.
+  std::string entry_name;
   flow_cookie cookie = 0;
   endpoint address;
   std::string service;
+  /// The configuration names the service.
+  bool is_service_known = false;
   std::string failure_domain;
   server_state state = server_state::kReady;
   uint32_t slots = 1;
@@ -43,16 +49,44 @@
 
   bool TakesNewFlows() const {
     return gone_at == kNever && state == server_state::kReady &&
-           !is_withdrawn && !has_ambiguous_cookie;
+           is_service_known && !is_withdrawn && !has_ambiguous_cookie;
   }
 };
 
-/// All backend servers that this process has seen in the catalog.
+/// Why a readable catalog entry gets no new flows.
+enum class entry_rejection : uint8_t {
+  /// The configuration does not name its service.
+  kUnknownService,
+  /// Another entry describes the server with the same id.
+  kDuplicateId,
+};
+
+template <>
+struct enum_names<entry_rejection> {
+  static constexpr std::string_view kNames[] = {"unknown_service",
+                                                "duplicate_id"};
+};
+
+struct rejected_entry {
+  std::string name;
+  std::string service;
+  entry_rejection reason = entry_rejection::kUnknownService;
+};
+
+/// What an update of a server_set found.
+struct server_changes {
+  /// Rows whose server has restarted under the same id.
+  std::vector<server_row> restarted;
+  /// Entries that are rejected and were not before, or for another reason.
+  std::vector<rejected_entry> rejected;
+};
+
+/// All backend servers that this process has seen in the catalog. An entry of a
+/// service that the configuration does not name serves only open flows that
+/// name its server, and changes nothing of other servers.
 class server_set {
  public:
-  /// Updates the rows from the catalog. Returns the rows whose server has
-  /// restarted under the same id.
-  std::vector<server_row> Update(time_point now, const catalog& current);
+  server_changes Update(time_point now, const catalog& current);
 
   const known_server& At(server_row row) const { return rows_[row]; }
   size_t Size() const { return rows_.size(); }
@@ -66,6 +100,18 @@
   static flow_cookie CookieOf(backend_server_id id);
 
  private:
+  /// An entry of the catalog that describes the server with its id.
+  struct description {
+    std::string_view name;
+    const server_entry* entry = nullptr;
+    bool is_service_known = false;
+  };
+
+  /// One description for each id; adds the other entries to `rejected`.
+  std::vector<description> SelectEntries(
+      const catalog& current, std::vector<rejected_entry>& rejected) const;
+  /// True if the entry may describe the row with its id, if there is one.
+  bool MayDescribe(const description& candidate) const;
   server_row RowOf(backend_server_id id);
   void NoteTakenAddresses();
 
@@ -73,6 +119,8 @@
   absl::flat_hash_map<backend_server_id, server_row> by_id_;
   absl::flat_hash_map<flow_cookie, server_row> by_cookie_;
   absl::flat_hash_map<std::string, std::vector<server_row>> by_service_;
+  /// Rejected entries of the catalog, by name.
+  absl::flat_hash_map<std::string, entry_rejection> rejected_;
 };
 
 }  // namespace poplarstair
--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -114,14 +114,19 @@
   }
 }
 
-Test(store_codec, a_name_without_an_id_is_unreadable) {
-  const store_reply reply =
-      Decode(ListOf(collection::kServers), 200,
-             R"({"items":[{"meta":{"name":"xyz"},"spec":{"service":"a",)"
-             R"("address":"10.0.0.2:80","zone":"z","version":"v1","slots":3,)"
-             R"("state":"ready","cold_remaining_ms":0,"seq":4}}],)"
-             R"("has_more":false,"at_rev":9})");
-  cr_assert(IsUnreadable(reply.objects.at(0)));
+// "old-i-7" was read as the id of server i-7, whose row the copy took over.
+Test(store_codec, a_name_that_is_no_id_is_unreadable) {
+  for (const char* name : {"xyz", "old-i-7", "i-7-old", "i-7-bad", "i-7.b",
+                           "-7", "7", "i-", "i-0"}) {
+    const store_reply reply =
+        Decode(ListOf(collection::kServers), 200,
+               R"({"items":[{"meta":{"name":")" + std::string(name) +
+                   R"("},"spec":{"service":"a",)"
+                   R"("address":"10.0.0.2:80","zone":"z","version":"v1",)"
+                   R"("slots":3,"state":"ready","cold_remaining_ms":0,)"
+                   R"("seq":4}}],"has_more":false,"at_rev":9})");
+    cr_assert(IsUnreadable(reply.objects.at(0)), "%s", name);
+  }
 }
 
 Test(store_codec, reads_events) {
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -36,6 +36,9 @@
     Publish();
   }
 
+  /// An instance whose first catalog is `start`.
+  explicit steering_site(catalog start) : known(std::move(start)) { Publish(); }
+
   void AddRoute(const endpoint& address, request_kind kind) {
     service_route route;
     route.address = address;
@@ -397,6 +400,77 @@
   cr_assert(used);
 }
 
+// Another writer's copy of an entry, named "old-" and the server's id, took
+// over the server's row: its open flows went to the copy's address.
+Test(flow_steering, a_copied_entry_moves_no_flow_of_the_server) {
+  for (const char* service : {"s", "unknown"}) {
+    steering_site site;
+    const steer_decision open = site.OpenAndAnswer(1);
+    const std::string name = std::to_string(open.server.Value());
+    server_entry copy = site.known.servers.at(name);
+    copy.service = service;
+    copy.address = endpoint::Parse("10.0.0.9:80");
+    copy.born_ms = 5000;
+    site.known.servers["old-" + name] = copy;
+    site.Publish();
+    bool is_used = false;
+    for (uint16_t port = 20; port < 60; ++port) {
+      const steer_decision placed = site.OpenAndAnswer(port);
+      cr_assert_neq(placed.destination, copy.address);
+      is_used = is_used || placed.server == open.server;
+    }
+    cr_assert(is_used, "%s", service);
+    const steer_decision next = site.Data(1, open.cookie, 1, 1);
+    cr_assert_eq(next.destination, open.destination, "%s", service);
+    // The server's own entry lapses; the copy stands.
+    site.known.servers.erase(name);
+    site.Publish();
+    const steer_decision last = site.Data(1, open.cookie, 101, 1);
+    cr_assert_eq(last.destination, open.destination, "%s", service);
+  }
+}
+
+// Instances that learn of a copied entry and of the server's own one in another
+// order must send a flow to the same address.
+Test(flow_steering, instances_agree_on_two_entries_with_one_id) {
+  steering_site first_copy;
+  steering_site first_own;
+  const server_entry own = first_own.known.servers.at("1");
+  server_entry copy = own;
+  copy.address = endpoint::Parse("10.0.0.9:80");
+  first_copy.known.servers.erase("1");
+  first_copy.known.servers["01"] = copy;
+  first_copy.Publish();
+  first_copy.known.servers["1"] = own;
+  first_copy.Publish();
+  first_own.known.servers["01"] = copy;
+  first_own.Publish();
+  const flow_cookie cookie = steering_site::Cookie(1);
+  cr_assert_eq(first_copy.Data(7, cookie, 1, 1).destination, own.address);
+  cr_assert_eq(first_own.Data(7, cookie, 1, 1).destination, own.address);
+}
+
+// A flow stays at its server when a new configuration no longer names the
+// service, also at an instance that starts after that.
+Test(flow_steering, open_flows_outlive_the_name_of_their_service) {
+  steering_site site;
+  const steer_decision open = site.OpenAndAnswer(1);
+  catalog renamed = site.known;
+  renamed.routes.version = 2;
+  renamed.routes.services = {{"next", 0, 0}};
+  for (service_route& route : renamed.routes.routes) {
+    route.services = {{"next", 1}};
+  }
+  site.known = renamed;
+  site.Publish();
+  cr_assert_eq(site.Data(1, open.cookie, 1, 1).destination, open.destination);
+  cr_assert_eq(site.Open(2).verdict, steer_verdict::kReset);
+  steering_site restarted(renamed);
+  restarted.Pass(seconds(4));
+  cr_assert_eq(restarted.Data(1, open.cookie, 101, 1).destination,
+               open.destination);
+}
+
 Test(flow_steering, draining_withdrawn_and_cold_servers_get_nothing_new) {
   steering_site site;
   site.known.servers["1"].state = server_state::kDraining;
