Entries of unknown services take no server's address

Change: only entries of known services take an address.

The test fixture of flow_steering names the service "other" in its configuration now: three tests use it for a server that takes an address, and an entry of a service that is not named no longer can. Their checks are as they were.

Before: flow_steering an_entry_of_an_unknown_service_takes_no_address failed.

--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -150,7 +150,7 @@
 void server_set::NoteTakenAddresses() {
   absl::flat_hash_map<endpoint, int64_t> latest_start;
   for (const known_server& server : rows_) {
-    if (server.gone_at != kNever) continue;
+    if (server.gone_at != kNever || !server.is_service_known) continue;
     int64_t& latest = latest_start[server.address];
     latest = std::max(latest, server.born_ms);
   }
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -23,7 +23,7 @@
     AddRoute(kFeed, request_kind::kIdempotent);
     AddRoute(kForms, request_kind::kNotIdempotent);
     known.routes.version = 1;
-    known.routes.services = {{"s", 0, 0}};
+    known.routes.services = {{"s", 0, 0}, {"other", 0, 0}};
     for (uint64_t id = 1; id <= 4; ++id) {
       server_entry server;
       server.id = backend_server_id(id);
@@ -450,6 +450,25 @@
   cr_assert_eq(first_own.Data(7, cookie, 1, 1).destination, own.address);
 }
 
+// An entry of a service that the configuration does not name, with a live
+// server's address and a later start: two lost handshakes were then enough to
+// reset the server's open flows, and nothing tested the server any more.
+Test(flow_steering, an_entry_of_an_unknown_service_takes_no_address) {
+  steering_site site;
+  const backend_server_id silent = SilenceServerOf(site, 1);
+  server_entry claim = site.known.servers.at(std::to_string(silent.Value()));
+  claim.id = backend_server_id(9);
+  claim.service = "unknown";
+  claim.born_ms = 5000;
+  site.known.servers["9"] = claim;
+  site.Publish();
+  cr_assert_eq(site.Data(1, site.Cookie(silent.Value()), 101, 1).verdict,
+               steer_verdict::kForward);
+  site.tested.clear();
+  site.Pass(seconds(2));
+  cr_assert(site.tested.contains(silent));
+}
+
 // A flow stays at its server when a new configuration no longer names the
 // service, also at an instance that starts after that.
 Test(flow_steering, open_flows_outlive_the_name_of_their_service) {
