A watch confirms an old state only once it is answered

What callers could see: servers and routes that were removed while the store was silent, in use again at an instance that started.

Cause: a follower called its collection current from the moment that a watch was sent, though the store had never answered it. While the store is silent, instances take over in turn; each one's first watch made the catalog's age 0 for up to 6.2 s, also in digests, and instances that start take a catalog that is said to be current.

Change: a watch stands for a current state only after an answer, or from a state that was confirmed within fresh_enough. Other watches are short.

The unit test of the follower uses the new argument and was not built before the change.

--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -31,10 +31,11 @@
     CallAgain();
   }
 
-  void Follow(store_revision known) {
+  void Follow(store_revision known, bool is_current) {
     is_following_ = true;
     if (phase_ != follow_phase::kStopped) return;
     revision_ = known;
+    is_current_ = is_current;
     pause_ = settings_.first_pause;
     CallAgain();
   }
@@ -48,6 +49,7 @@
   void Rewatch(store_revision known) {
     if (phase_ != follow_phase::kWatching) return;
     revision_ = std::max(revision_, known);
+    is_current_ = false;
     Watch();
   }
 
@@ -71,6 +73,7 @@
                        .With("revision", reply.revision));
       is_lost_ = false;
     }
+    is_current_ = true;
     pause_ = settings_.first_pause;
     if (phase_ == follow_phase::kListing) {
       OnPage(now, std::move(reply));
@@ -89,7 +92,7 @@
 
   time_point ConfirmedAt(time_point now) const {
     const bool is_waiting = phase_ == follow_phase::kWatching && awaited_ != 0;
-    if (is_waiting && !is_lost_) return now;
+    if (is_waiting && IsCurrent()) return now;
     return confirmed_at_;
   }
 
@@ -117,7 +120,7 @@
     store_request request;
     request.operation = store_operation::kWatch;
     request.revision = revision_;
-    request.wait = is_lost_ ? settings_.lost_wait : settings_.watch_wait;
+    request.wait = IsCurrent() ? settings_.watch_wait : settings_.lost_wait;
     request.timeout = request.wait + settings_.call_timeout;
     Send(std::move(request));
   }
@@ -129,6 +132,10 @@
     actions_.call(std::move(request));
   }
 
+  /// True if the store has confirmed lately what is known. Only then does a
+  /// watch that waits mean that nothing has changed since.
+  bool IsCurrent() const { return is_current_ && !is_lost_; }
+
   /// True for a second copy of an earlier call's answer, which arrived late on
   /// a connection that was in use again.
   bool IsEarlierAnswer(const store_reply& reply) const {
@@ -201,6 +208,8 @@
   uint64_t last_call_;
   /// The call under way; 0 for none.
   uint64_t awaited_ = 0;
+  /// What is known was the store's state a moment before the last call.
+  bool is_current_ = false;
   bool is_lost_ = false;
   duration pause_{};
   time_point resume_at_{};
@@ -215,7 +224,9 @@
 store_follower::~store_follower() = default;
 void store_follower::Load() { impl_->Load(); }
 void store_follower::Rewatch(store_revision known) { impl_->Rewatch(known); }
-void store_follower::Follow(store_revision known) { impl_->Follow(known); }
+void store_follower::Follow(store_revision known, bool is_current) {
+  impl_->Follow(known, is_current);
+}
 void store_follower::Stop() { impl_->Stop(); }
 void store_follower::Restart() { impl_->Restart(); }
 void store_follower::OnReply(time_point now, store_reply reply) {
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -15,8 +15,8 @@
   /// How long the store may hold a watch. Bounds how long an instance takes
   /// its data for current while the store answers it nothing.
   duration watch_wait = std::chrono::seconds(5);
-  /// The same while the store does not answer: the first answer matters more
-  /// than a call saved.
+  /// The same until the store has confirmed what is known: the first answer
+  /// matters more than a call saved.
   duration lost_wait = std::chrono::milliseconds(50);
   /// Longest wait for an answer beyond `watch_wait`.
   duration call_timeout = std::chrono::milliseconds(1200);
@@ -49,8 +49,9 @@
   /// Lists the collection once, until the store has answered.
   void Load();
   /// Follows from now on. `known` is the revision of what a peer has handed
-  /// over, or 0 to list everything.
-  void Follow(store_revision known);
+  /// over, or 0 to list everything; `is_current` if the store has confirmed it
+  /// lately.
+  void Follow(store_revision known, bool is_current = true);
   /// Makes no more calls; an answer under way is ignored.
   void Stop();
   /// Drops the call under way and lists anew, e.g. after a pause.
@@ -68,7 +69,8 @@
   /// True if `id` is the call under way.
   bool Awaits(uint64_t id) const;
   /// When the store last confirmed that nothing is missing: now while a watch
-  /// is waiting within its time, else the last answer; time_point{} if never.
+  /// from a current state is waiting within its time, else the last answer;
+  /// time_point{} if never.
   time_point ConfirmedAt(time_point now) const;
 
  private:
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -350,7 +350,7 @@
     for (const collection what : kAllCollections) {
       store_follower& follower = *followers_[Index(what)];
       if (should) {
-        follower.Follow(replica_.Revision(what));
+        follower.Follow(replica_.Revision(what), IsFresh(now - confirmed_at_));
       } else {
         follower.Stop();
       }
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -180,6 +180,14 @@
   duration list_delay = kDelay;
   /// Instances that the store turns away.
   std::set<size_t> refused;
+  /// The connections of all waiting watches go silent; new ones work.
+  void SilenceWatches() {
+    for (const waiting_watch& w : watches_) {
+      Answer(w.index, w.owner, w.since + w.request.timeout - queue.Now(),
+             {w.request.id, store_status::kNoAnswer, 0, {}, false});
+    }
+    watches_.clear();
+  }
   /// True if no message passes between two instances.
   std::function<bool(size_t, size_t)> is_cut = [](size_t, size_t) {
     return false;
@@ -201,6 +209,7 @@
     size_t index;
     node* owner;
     store_request request;
+    time_point since;
   };
 
   static endpoint AddressOf(size_t i) {
@@ -295,7 +304,7 @@
     }
     const store_reply changes = store.Changes(request);
     if (!changes.objects.empty()) return Answer(i, owner, kDelay, changes);
-    watches_.push_back({i, nodes_[i].get(), request});
+    watches_.push_back({i, nodes_[i].get(), request, queue.Now()});
     Later(i, owner, request.wait,
           [this, i, id = request.id](entry_instance&) { EndWatch(i, id); });
   }
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -128,6 +128,23 @@
                kStart);
 }
 
+// An instance that took over as the follower called its old catalog current
+// from its first call on, before the store had answered, and handed it to
+// instances that started.
+Test(store_follower,
+     a_watch_from_an_old_state_confirms_nothing_until_answered) {
+  followed_store store;
+  store.follower.Follow(40, false);
+  cr_assert_eq(store.follower.ConfirmedAt(kStart), time_point{});
+  cr_assert_leq(store.calls.back().wait, duration(milliseconds(100)));
+  store.Answer(kStart, store_status::kOk, 40);
+  const time_point later = kStart + milliseconds(300);
+  cr_assert_eq(store.follower.ConfirmedAt(later), later);
+  // A watch that was overtaken stands for nothing either.
+  store.follower.Rewatch(50);
+  cr_assert_eq(store.follower.ConfirmedAt(later), kStart);
+}
+
 // A second copy of an answer, late on a connection in use again, must not
 // stand for the answer of the next call.
 Test(store_follower, the_copy_of_a_page_is_no_next_page) {
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -306,3 +306,23 @@
   // The tightest bound that the users state for a change.
   ExpectInForce(fleet, 2, seconds(3));
 }
+
+// Each instance that took over as the follower called its old catalog current
+// for as long as its first watch waited, and instances that started took it.
+Test(entry_instance, no_catalog_counts_as_current_while_the_store_is_silent) {
+  for (uint64_t seed = 60; seed < 70; ++seed) {
+    entry_fleet fleet(9, 1, seed);
+    fleet.RunFor(seconds(6));
+    fleet.is_store_down = true;
+    fleet.SilenceWatches();
+    // A watch that waits while the store falls silent ends within this time.
+    fleet.RunFor(milliseconds(6300));
+    constexpr int kSeconds = 8;
+    for (int i = 1; i <= kSeconds; ++i) {
+      fleet.RunFor(seconds(1));
+      for (size_t instance = 0; instance < 9; ++instance) {
+        cr_assert_geq(fleet.State(instance)["catalog_age_ms"], 1000 * i);
+      }
+    }
+  }
+}
