Watches end early enough to notice silent connections in time

Cause: a watch may be held for 5 s and was awaited for 1.2 s more, during which the catalog counts as current. Keep-alive does not notice a connection whose other end is silent while its kernel answers.

Change: 2.6 s and 0.7 s. A list, which is larger, still has 1.2 s.

--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -111,7 +111,7 @@
     store_request request;
     request.operation = store_operation::kList;
     request.after = after;
-    request.timeout = settings_.call_timeout;
+    request.timeout = settings_.list_timeout;
     Send(std::move(request));
   }
 
@@ -121,7 +121,7 @@
     request.operation = store_operation::kWatch;
     request.revision = revision_;
     request.wait = IsCurrent() ? settings_.watch_wait : settings_.lost_wait;
-    request.timeout = request.wait + settings_.call_timeout;
+    request.timeout = request.wait + settings_.watch_answer_time;
     Send(std::move(request));
   }
 
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -12,14 +12,18 @@
 namespace poplarstair {
 
 struct follower_settings {
-  /// How long the store may hold a watch. Bounds how long an instance takes
-  /// its data for current while the store answers it nothing.
-  duration watch_wait = std::chrono::seconds(5);
+  /// How long the store may hold a watch. With `watch_answer_time` it bounds
+  /// how long an instance takes its data for current on a connection that has
+  /// gone silent: 4 s later it counts as in touch and has to know what it
+  /// missed.
+  duration watch_wait = std::chrono::milliseconds(2600);
   /// The same until the store has confirmed what is known: the first answer
   /// matters more than a call saved.
   duration lost_wait = std::chrono::milliseconds(50);
-  /// Longest wait for an answer beyond `watch_wait`.
-  duration call_timeout = std::chrono::milliseconds(1200);
+  /// Longest wait for the answer to a watch, beyond the time that it is held.
+  duration watch_answer_time = std::chrono::milliseconds(700);
+  /// Longest wait for a page of a list.
+  duration list_timeout = std::chrono::milliseconds(1200);
   /// Pause after a watch that told something: changes come in bursts, and what
   /// comes meanwhile is told by one call. Small against the seconds in which
   /// changes must be in force.
