The two sides of a cut inside a domain find each other again

What callers could see: two owners for each cold server, and two followers of the store, long after a cut inside a domain had healed.

Cause: members that were silent for 4 s were forgotten, and seeds asked only by an instance that knows nobody. With the seeds gone, two halves that know members of their own never wrote to each other.

Change: members of the own domain that fell silent get a digest every fourth round, for an hour: one datagram a second for each instance that lost some.

--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -42,6 +42,7 @@
   const auto stopped = stopped_.find(digest.sender);
   if (stopped != stopped_.end() && digest.life <= stopped->second) return false;
   rumours_.erase(digest.sender);
+  lost_.erase(digest.sender);
   if (digest.is_stopping) {
     stopped_[digest.sender] = digest.life;
     if (members_.erase(digest.sender) > 0) {
@@ -107,8 +108,12 @@
              .With("peer", it->first.ToString())
              .With("domain", it->second.failure_domain)
              .With("members", members_.size() - 1));
+    if (is_own) lost_[it->first] = now;
     it = members_.erase(it);
   }
+  std::erase_if(lost_, [&](const auto& lost) {
+    return now - lost.second > settings_.lost_peer_time;
+  });
   std::erase_if(rumours_, [now](const auto& rumour) {
     return now - rumour.second > kRumourTime;
   });
@@ -147,6 +152,13 @@
     const std::vector<endpoint> far = Draw(false, 1);
     targets.insert(targets.end(), far.begin(), far.end());
   }
+  // The two sides of a cut have to find each other again, and every seed may be
+  // gone by then.
+  if (round_ % settings_.rounds_between_lost == 0 && !lost_.empty()) {
+    const auto drawn =
+        static_cast<ptrdiff_t>(RandomBelow(random_, lost_.size()));
+    targets.push_back(std::next(lost_.begin(), drawn)->first);
+  }
   return targets;
 }
 
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -45,6 +45,10 @@
   uint32_t fan_out = 3;
   /// Every how many rounds one goes to another domain.
   uint32_t rounds_between_domains = 2;
+  /// Every how many rounds one goes to an instance that fell silent.
+  uint32_t rounds_between_lost = 4;
+  /// For how long that is done.
+  duration lost_peer_time = std::chrono::hours(1);
   /// Without any digest from another domain for this long there is a cut; some
   /// two a second arrive.
   duration cut_after = std::chrono::milliseconds(1500);
@@ -182,6 +186,8 @@
   std::map<endpoint, time_point> rumours_;
   /// Lives that have said that they stop.
   std::map<endpoint, incarnation> stopped_;
+  /// Members of the own domain that fell silent, with when that was noticed.
+  std::map<endpoint, time_point> lost_;
   time_point started_at_{};
   time_point better_since_ = kNever;
   time_point far_heard_at_{};
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -345,3 +345,18 @@
     ExpectInForce(fleet, 3, kStableWindow);
   }
 }
+
+// After a cut of more than four seconds the instances of a domain found each
+// other again only through seeds, or through other domains.
+Test(entry_instance, a_domain_without_living_seeds_finds_itself_after_a_cut) {
+  entry_fleet fleet(8, 1, 42);
+  fleet.RunFor(seconds(6));
+  for (size_t seed = 0; seed < 3; ++seed) fleet.Kill(seed);
+  fleet.is_cut = [](size_t a, size_t b) { return a % 2 != b % 2; };
+  fleet.RunFor(seconds(8));
+  cr_assert_eq(fleet.Followers(), 2u);
+  fleet.is_cut = [](size_t, size_t) { return false; };
+  fleet.RunFor(seconds(8));
+  cr_assert_eq(fleet.State(5)["instances"], 5);
+  cr_assert_eq(fleet.Followers(), 1u);
+}
