One owner of a cold server at a time, or a shared limit

Cause: an instance that stops told the others, whose next rank went on at once, but did not let go itself for the second that the fabric still hands it packets. On related paths: an owner that woke from a pause of more than the silence limit went on beside its successor; both sides of a cut inside a domain owned, for as long as it lasted; an instance that started behind a cut took itself for the only one.

Change: an instance that stops, starts, was paused or has an overdue timer owns nothing; the next owner waits for the time between two flows. Where several may own, which neither side of a cut can rule out, each keeps to its part of four flows a second: with one that takes itself for the only owner that makes five. A stated limit is shared the same way from three owners on. flow_placed has cold_owners, without which the logs did not tell two owners from one.

Ruled out: a lower rate for all, as cold servers are used only where there is no warm one; and waiting out the silence of others, which would leave cold servers without flows after every crash.

--- a/poplarstair/steering/cold_flow_limits.h
+++ b/poplarstair/steering/cold_flow_limits.h
@@ -4,6 +4,8 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -29,21 +31,29 @@
     }
   }
 
-  /// True if a flow may be opened to the server now. Flows are evenly spaced,
-  /// so that no second has more new flows than a cold server can handle.
-  bool Take(time_point now, server_row row, const std::string& service) {
+  /// True if a flow may be opened to the server now by one of `owners`
+  /// instances. Flows are evenly spaced, so that no second has more new flows
+  /// than a cold server can handle.
+  bool Take(time_point now, server_row row, const std::string& service,
+            uint32_t owners) {
     time_point& next = next_[row];
     if (now < next) return false;
-    next = now + duration(static_cast<int64_t>(1e6 / Rate(service)));
+    const double interval_us = std::ceil(1e6 / Rate(service, owners));
+    next = now + duration(static_cast<int64_t>(interval_us));
     return true;
   }
 
  private:
   /// Rate limit in flows per second.
-  double Rate(const std::string& service) const {
+  double Rate(const std::string& service, uint32_t owners) const {
     const auto it = bounds_.find(service);
-    if (it == bounds_.end()) return settings_.cold_flows_per_second;
-    return it->second * settings_.cold_share;
+    if (it != bounds_.end()) {
+      // The limit bears two owners that each take themselves for the only one.
+      const double others = std::max(owners / 2.0, 1.0);
+      return it->second * settings_.cold_share / others;
+    }
+    if (owners == 1) return settings_.cold_flows_per_second;
+    return std::max(settings_.shared_cold_flows_per_second / owners, 1U);
   }
 
   const choice_settings settings_;
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -117,6 +117,7 @@
     actions_.log(log_record("pause_noticed", log_level::kWarning)
                      .With("ms", length.count() / 1000));
     steering_.OnPause(now, settings_.hold_after_pause);
+    peers_.OnPause(now);
     confirmed_at_ = time_point{};
     for (const auto& follower : followers_) follower->Restart();
   }
@@ -177,6 +178,16 @@
   }
 
  private:
+  /// An instance that stops has told the next owner to go on. One whose timer
+  /// is overdue was paused, which it is about to notice.
+  uint32_t ColdOwnersOf(const known_server& server) const {
+    const bool is_own = server.failure_domain == settings_.peers.failure_domain;
+    if (!is_own || is_stopping_ || now_ - last_tick_ > kPauseLimit) {
+      return 0;
+    }
+    return peers_.PossibleOwners(now_, server.id.Value());
+  }
+
   /// A state that a peer holds and this instance does not.
   struct gap {
     store_revision wanted = 0;
@@ -228,9 +239,8 @@
     result.log = actions_.log;
     result.check_server = actions_.check_server;
     result.send_again = actions_.send_again;
-    result.owns_cold = [this](const known_server& server) {
-      return server.failure_domain == settings_.peers.failure_domain &&
-             peers_.Owns(now_, server.id.Value());
+    result.cold_owners = [this](const known_server& server) {
+      return ColdOwnersOf(server);
     };
     result.others_may_serve = [this](time_point now) {
       AskOtherDomains(now);
@@ -459,6 +469,8 @@
 
   /// A follower whose calls were answered this lately needs no peers.
   static constexpr duration kOwnAnswerTime = std::chrono::milliseconds(500);
+  /// Time without a tick after which the instance must have been paused.
+  static constexpr duration kPauseLimit = std::chrono::seconds(1);
 
   const entry_settings settings_;
   const incarnation life_;
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -280,10 +280,11 @@
                        const service_route& route, const std::string& service,
                        server_row avoided) {
     const choice_context context{servers_, estimates_, settings_.failure_domain,
-                                 actions_.owns_cold};
+                                 actions_.cold_owners};
     server_choice choice =
         ChooseServer(now, context, settings_.choice, service, avoided, random_);
-    if (choice.is_cold && !cold_limits_.Take(now, choice.row, service)) {
+    if (choice.cold_owners > 0 &&
+        !cold_limits_.Take(now, choice.row, service, choice.cold_owners)) {
       choice.row = kNoServer;
     }
     if (choice.row == kNoServer && avoided != kNoServer &&
@@ -302,10 +303,10 @@
     record.sent_at = now;
     record.last_seen = now;
     if (record.request_at == time_point{}) record.request_at = now;
-    const steer_reason reason = choice.is_cold ? steer_reason::kPlacedCold
-                                : avoided != kNoServer
-                                    ? steer_reason::kPlacedAgain
-                                    : steer_reason::kPlaced;
+    const steer_reason reason =
+        choice.cold_owners > 0 ? steer_reason::kPlacedCold
+        : avoided != kNoServer ? steer_reason::kPlacedAgain
+                               : steer_reason::kPlaced;
     actions_.log(PlacedLine(Facts(now), packet, service, choice, reason));
     return Forward(choice.row, reason);
   }
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -20,6 +20,7 @@
 
 void peer_view::Start(time_point now) {
   started_at_ = now;
+  settled_from_ = now;
   AskSeeds(now);
 }
 
@@ -45,6 +46,9 @@
   lost_.erase(digest.sender);
   if (digest.is_stopping) {
     stopped_[digest.sender] = digest.life;
+    if (digest.failure_domain == settings_.failure_domain) {
+      leaving_[digest.sender] = now;
+    }
     if (members_.erase(digest.sender) > 0) {
       log_(
           log_record("instance_leaves").With("peer", digest.sender.ToString()));
@@ -66,7 +70,11 @@
   known.state = {digest.revisions, digest.contents};
   known.is_following = digest.is_following;
   known.last_heard = now;
-  if (known.failure_domain != settings_.failure_domain) far_heard_at_ = now;
+  if (known.failure_domain != settings_.failure_domain) {
+    far_heard_at_ = now;
+  } else if (is_new) {
+    met_at_ = now;
+  }
   known.confirmed_at = now - digest.age;
   for (const named_peer& named : digest.peers) {
     OnNamed(now, named);
@@ -114,6 +122,9 @@
   std::erase_if(lost_, [&](const auto& lost) {
     return now - lost.second > settings_.lost_peer_time;
   });
+  std::erase_if(leaving_, [&](const auto& leaving) {
+    return now - leaving.second > settings_.hand_over_time;
+  });
   std::erase_if(rumours_, [now](const auto& rumour) {
     return now - rumour.second > kRumourTime;
   });
@@ -255,11 +266,11 @@
 }
 
 uint32_t peer_view::Rank(uint64_t key) const {
-  const uint64_t own = HashCombine(HashOf(settings_.self), key);
+  const uint64_t own = PositionOf(settings_.self, key);
   uint32_t rank = 0;
   for (const auto& [address, known] : members_) {
     if (known.failure_domain != settings_.failure_domain) continue;
-    if (HashCombine(HashOf(address), key) < own) ++rank;
+    if (PositionOf(address, key) < own) ++rank;
   }
   return rank;
 }
@@ -285,13 +296,13 @@
            settings_.take_over_age + SpreadTime() + rank * settings_.rank_delay;
   }
   // Follows in another's place: until that one's answers arrive steadily.
-  const uint64_t own = HashCombine(HashOf(settings_.self), kFollowerKey);
+  const uint64_t own = PositionOf(settings_.self, kFollowerKey);
   const bool better =
       std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
         const auto& [address, known] = entry;
         return known.is_following &&
                known.failure_domain == settings_.failure_domain &&
-               HashCombine(HashOf(address), kFollowerKey) < own &&
+               PositionOf(address, kFollowerKey) < own &&
                now - known.confirmed_at <
                    settings_.take_over_age + SpreadTime();
       });
@@ -320,8 +331,25 @@
                                                     : far_path::kAsked;
 }
 
-bool peer_view::Owns(time_point now, uint64_t key) const {
-  return !IsJoining(now) && Rank(key) == 0;
+uint32_t peer_view::PossibleOwners(time_point now, uint64_t key) const {
+  const duration settled = now - settled_from_;
+  if (settled < settings_.learning_time || Rank(key) > 0) return 0;
+  // What an owner that stops did last still counts against the same second.
+  const uint64_t own = PositionOf(settings_.self, key);
+  const bool is_handed_over =
+      std::any_of(leaving_.begin(), leaving_.end(), [&](const auto& leaving) {
+        return now - leaving.second < settings_.hand_over_time &&
+               PositionOf(leaving.first, key) < own;
+      });
+  if (is_handed_over) return 0;
+  // Each silent instance may have lost its links to this one alone. Others may
+  // have been silent from the start, and take themselves for the only owner
+  // until they notice that they hear nobody.
+  const auto owners = static_cast<uint32_t>(1 + lost_.size());
+  const bool is_known =
+      settled >= settings_.silence_limit + settings_.learning_time &&
+      now - met_at_ >= settings_.learning_time && HasNeighbours();
+  return is_known ? owners : std::max(owners, 2U);
 }
 
 }  // namespace poplarstair
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -47,8 +47,6 @@
   uint32_t rounds_between_domains = 2;
   /// Every how many rounds one goes to an instance that fell silent.
   uint32_t rounds_between_lost = 4;
-  /// For how long that is done.
-  duration lost_peer_time = std::chrono::hours(1);
   /// Without any digest from another domain for this long there is a cut; some
   /// two a second arrive.
   duration cut_after = std::chrono::milliseconds(1500);
@@ -66,8 +64,16 @@
   uint32_t change_fan_out = 4;
   /// Instances of other domains that are enough to know.
   uint32_t enough_far = 8;
-  /// After a start the own view is too small to own anything for this long.
+  /// After a start or a pause the own view is too small to own anything for
+  /// this long.
   duration learning_time = std::chrono::milliseconds(1500);
+  /// How long the next owner waits after an owner has said that it stops:
+  /// longer than the time between two actions of an owner, so that the two
+  /// together act no more often than one.
+  duration hand_over_time = std::chrono::milliseconds(350);
+  /// How long an instance of the own domain that fell silent without a word may
+  /// still act as an owner behind a cut, and is sent digests now and then.
+  duration lost_peer_time = std::chrono::hours(1);
 };
 
 /// What is known of the path to the other failure domains.
@@ -136,8 +142,12 @@
   /// True if this instance should follow the store, given how old its catalog
   /// is and whether it follows now.
   bool ShouldFollow(time_point now, duration catalog_age, bool is_following);
-  /// True if this instance, of all in its domain, is chosen for `key`.
-  bool Owns(time_point now, uint64_t key) const;
+  /// How many instances may act for `key` at once, this one among them; 0 if
+  /// another one of the domain is chosen. More than 1 while instances may not
+  /// hear each other.
+  uint32_t PossibleOwners(time_point now, uint64_t key) const;
+  /// This instance was paused: others may own what it owned.
+  void OnPause(time_point now) { settled_from_ = now; }
 
   /// True if another instance of the own domain is known.
   bool HasNeighbours() const;
@@ -170,6 +180,10 @@
   static bool IsNewer(const held_state& theirs, const held_state& own,
                       size_t i);
   uint64_t HashOf(const endpoint& e) const;
+  /// Position of an instance among those chosen for `key`; the least is chosen.
+  uint64_t PositionOf(const endpoint& e, uint64_t key) const {
+    return HashCombine(HashOf(e), key);
+  }
   /// Members of the own domain that come before this one for `key`.
   uint32_t Rank(uint64_t key) const;
   std::vector<endpoint> Draw(bool own_domain, size_t count);
@@ -186,9 +200,15 @@
   std::map<endpoint, time_point> rumours_;
   /// Lives that have said that they stop.
   std::map<endpoint, incarnation> stopped_;
+  /// Instances of the own domain that have said so lately, with when.
+  std::map<endpoint, time_point> leaving_;
   /// Members of the own domain that fell silent, with when that was noticed.
   std::map<endpoint, time_point> lost_;
   time_point started_at_{};
+  /// The start, or the end of the last pause.
+  time_point settled_from_{};
+  /// When an instance of the own domain was last heard of for the first time.
+  time_point met_at_{};
   time_point better_since_ = kNever;
   time_point far_heard_at_{};
   /// The first time that was not answered since.
--- a/poplarstair/steering/server_choice.cc
+++ b/poplarstair/steering/server_choice.cc
@@ -48,7 +48,7 @@
     // The connection test at this address reached the server that now has it.
     if (server.is_address_taken && context.estimates.IsOnTrial(row)) continue;
     if (server.cold_until > now) {
-      if (context.owns_cold(server)) cold.Add(row);
+      if (context.cold_owners(server) > 0) cold.Add(row);
       continue;
     }
     (server.failure_domain == context.domain ? own : others).Add(row);
@@ -60,7 +60,9 @@
                  random, best);
   if (best.row == kNoServer) {
     cold.Compare(now, context, 1, settings.compared, random, best);
-    best.is_cold = best.row != kNoServer;
+    if (best.row != kNoServer) {
+      best.cold_owners = context.cold_owners(context.servers.At(best.row));
+    }
   }
   return best;
 }
--- a/poplarstair/steering/server_choice.h
+++ b/poplarstair/steering/server_choice.h
@@ -23,6 +23,9 @@
   /// New flows per second that a cold server gets if operators configured no
   /// limit and no warm server is available.
   double cold_flows_per_second = 3;
+  /// The same for all owners together while there may be several: one of them
+  /// may take itself for the only one.
+  uint32_t shared_cold_flows_per_second = 4;
   /// Fraction of a configured limit that the owner of a cold server uses. If
   /// two instances both assume ownership for a moment, their sum stays
   /// within 1.5 times the limit.
@@ -35,8 +38,8 @@
   const server_estimates& estimates;
   /// Failure domain of this instance.
   const std::string& domain;
-  /// True if this is the only instance that may open flows to the cold server.
-  const std::function<bool(const known_server&)>& owns_cold;
+  /// See flow_steering::hooks.
+  const std::function<uint32_t(const known_server&)>& cold_owners;
 };
 
 struct server_choice {
@@ -44,7 +47,9 @@
   /// Expected wait in microseconds, with the factor for other domains.
   double expected_wait = 0;
   uint32_t eligible = 0;
-  bool is_cold = false;
+  /// How many instances may open flows to the server, which is cold; 0 if it is
+  /// warm.
+  uint32_t cold_owners = 0;
 };
 
 /// Chooses the server with the least expected wait among a random sample of the
--- a/poplarstair/steering/steering_log.cc
+++ b/poplarstair/steering/steering_log.cc
@@ -39,6 +39,7 @@
       .With("domain", server.failure_domain)
       .With("wait_us", static_cast<int64_t>(choice.expected_wait))
       .With("eligible", choice.eligible)
+      .With("cold_owners", choice.cold_owners)
       .With("age_ms", ToMs(facts.age))
       .With("outcome", NameOf(reason));
 }
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -98,8 +98,10 @@
     store.Put(collection::kRoutes, "main", table);
   }
 
-  void SetServer(uint64_t id, server_state state) {
+  void SetServer(uint64_t id, server_state state,
+                 time_point cold_until = time_point{}) {
     server_entry server;
+    server.cold_until = cold_until;
     server.id = backend_server_id(id);
     server.service = "s";
     server.address = endpoint::Parse("10.9.0.1:80");
@@ -127,6 +129,29 @@
     ArmTimer(i, slot.get());
   }
   void Kill(size_t i) { nodes_[i].reset(); }
+  bool IsRunning(size_t i) const {
+    const auto it = nodes_.find(i);
+    return it != nodes_.end() && it->second != nullptr;
+  }
+  /// A planned stop; the instance goes on until Kill.
+  void Stop(size_t i) { nodes_.at(i)->instance->OnStop(queue.Now()); }
+  /// The instance stands still: what is sent to it meanwhile is lost, and
+  /// packets that wait are read before its timers run.
+  void Pause(size_t i, duration length) {
+    node* owner = nodes_.at(i).get();
+    owner->paused_at = queue.Now();
+    queue.After(length, [this, i, owner] {
+      if (!IsRunning(i) || nodes_[i].get() != owner) return;
+      const duration paused = queue.Now() - owner->paused_at;
+      owner->paused_at = kNever;
+      queue.After(kDelay, [this, i, owner, paused] {
+        if (!IsRunning(i) || nodes_[i].get() != owner) return;
+        owner->instance->OnPause(queue.Now(), paused);
+        Tick(i, owner);
+      });
+    });
+  }
+  bool IsPaused(size_t i) const { return nodes_.at(i)->paused_at != kNever; }
 
   void RunFor(duration length) { queue.RunFor(length); }
 
@@ -144,6 +169,21 @@
     return instance.OnSegment(queue.Now(), packet, kBytes);
   }
 
+  /// The same, and the server answers at once.
+  steer_decision OpenAndAnswer(size_t i, uint16_t port) {
+    static constexpr uint8_t kBytes[] = {42};
+    const steer_decision placed = Open(i, port);
+    if (placed.verdict != steer_verdict::kForward) return placed;
+    segment packet;
+    packet.caller = {ip_address::Parse("100.64.0.7"), port};
+    packet.service = endpoint::Parse("198.18.0.1:443");
+    packet.cookie = placed.cookie;
+    packet.sequence = 1;
+    packet.acknowledged = 1;
+    nodes_.at(i)->instance->OnSegment(queue.Now(), packet, kBytes);
+    return placed;
+  }
+
   nlohmann::json State(size_t i) const {
     return nlohmann::json::parse(
         nodes_.at(i)->instance->StateJson(queue.Now()));
@@ -204,6 +244,8 @@
     size_t index = 0;
     metric_registry metrics;
     std::unique_ptr<entry_instance> instance;
+    /// kNever while it runs.
+    time_point paused_at = kNever;
   };
   struct waiting_watch {
     size_t index;
@@ -224,6 +266,7 @@
     queue.After(delay, [this, i, owner, work = std::move(work)] {
       const auto it = nodes_.find(i);
       if (it == nodes_.end() || it->second.get() != owner) return;
+      if (it->second->paused_at != kNever) return;
       work(*it->second->instance);
     });
   }
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -21,6 +21,61 @@
                fleet.Behind(version), static_cast<size_t>(version));
 }
 
+/// Callers open flows through every running instance all the while, and the
+/// only server stays cold.
+class cold_load {
+ public:
+  /// Flows in one second that a cold server bears if the configuration states
+  /// no limit.
+  static constexpr size_t kMostFlows = 5;
+
+  cold_load(entry_fleet& fleet, size_t instances)
+      : fleet_(fleet), instances_(instances) {
+    fleet.SetServer(1, server_state::kReady, fleet.queue.Now() + seconds(600));
+    fleet.RunFor(seconds(5));
+  }
+
+  void RunFor(duration length) {
+    const time_point end = fleet_.queue.Now() + length;
+    while (fleet_.queue.Now() < end) {
+      for (size_t i = 0; i < instances_; ++i) {
+        if (!fleet_.IsRunning(i) || fleet_.IsPaused(i)) continue;
+        const steer_decision placed = fleet_.OpenAndAnswer(i, ++last_port_);
+        if (placed.reason != steer_reason::kPlacedCold) continue;
+        opened_.push_back(fleet_.queue.Now());
+        last_owner_ = i;
+      }
+      fleet_.RunFor(milliseconds(10));
+    }
+  }
+
+  /// Most flows in any second.
+  size_t MostFlows() const {
+    size_t most = 0;
+    size_t first = 0;
+    for (size_t last = 0; last < opened_.size(); ++last) {
+      while (opened_[last] - opened_[first] >= seconds(1)) ++first;
+      most = std::max(most, last + 1 - first);
+    }
+    return most;
+  }
+  size_t Flows() const { return opened_.size(); }
+  /// The instance that opened the last one.
+  size_t Owner() const { return last_owner_; }
+
+ private:
+  entry_fleet& fleet_;
+  const size_t instances_;
+  uint16_t last_port_ = 0;
+  size_t last_owner_ = 0;
+  std::vector<time_point> opened_;
+};
+
+void ExpectFewFlows(const cold_load& load) {
+  cr_assert_leq(load.MostFlows(), cold_load::kMostFlows,
+                "%zu flows in one second", load.MostFlows());
+}
+
 }  // namespace
 
 Test(entry_instance, one_instance_of_each_domain_follows_the_store) {
@@ -360,3 +415,102 @@
   cr_assert_eq(fleet.State(5)["instances"], 5);
   cr_assert_eq(fleet.Followers(), 1u);
 }
+
+// At a planned stop the next instance took over at once, and the one that
+// stopped went on until the fabric took it out of rotation: six flows in one
+// second to a cold server that bears five.
+Test(entry_instance,
+     one_owner_of_a_cold_server_at_a_time_while_instances_stop) {
+  entry_fleet fleet(8, 2, 26);
+  cold_load load(fleet, 8);
+  load.RunFor(seconds(2));
+  for (int i = 0; i < 3; ++i) {
+    const size_t owner = load.Owner();
+    fleet.Stop(owner);
+    load.RunFor(milliseconds(1000));
+    cr_assert_neq(load.Owner(), owner);
+    fleet.Kill(owner);
+    load.RunFor(milliseconds(700));
+  }
+  ExpectFewFlows(load);
+  // The server is not left without flows either.
+  cr_assert_geq(load.Flows(), 6u + 3 * 2);
+}
+
+// An owner that stood still for longer than others wait for it went on as the
+// owner, beside the one that had taken over.
+Test(entry_instance, an_owner_that_was_paused_owns_nothing_at_first) {
+  for (uint64_t seed = 30; seed < 40; ++seed) {
+    entry_fleet fleet(8, 2, seed);
+    cold_load load(fleet, 8);
+    load.RunFor(seconds(2));
+    const size_t owner = load.Owner();
+    fleet.Pause(owner, seconds(5) + milliseconds(37) * (seed - 30));
+    load.RunFor(seconds(8));
+    ExpectFewFlows(load);
+  }
+}
+
+// Behind a cut an owner can't tell whether the instances that it no longer
+// hears are gone: both sides opened flows at the full rate.
+Test(entry_instance, two_sides_of_a_cut_share_a_cold_server) {
+  for (const bool is_one_way : {false, true}) {
+    entry_fleet fleet(8, 2, 41);
+    cold_load load(fleet, 8);
+    load.RunFor(seconds(2));
+    const size_t owner = load.Owner();
+    fleet.is_cut = [owner, is_one_way](size_t from, size_t to) {
+      return from == owner || (to == owner && !is_one_way);
+    };
+    load.RunFor(seconds(10));
+    fleet.is_cut = [](size_t, size_t) { return false; };
+    load.RunFor(seconds(3));
+    ExpectFewFlows(load);
+  }
+}
+
+// Stops, kills, restarts, pauses and cuts in random order; hand-overs overlap,
+// one instance at a time is behind a cut, and processes that end are started
+// again.
+Test(entry_instance, no_series_of_hand_overs_floods_a_cold_server) {
+  constexpr size_t kMembers = 6;
+  for (uint64_t seed = 100; seed < 120; ++seed) {
+    random_source random(seed);
+    entry_fleet fleet(kMembers, 1, seed);
+    cold_load load(fleet, kMembers);
+    bool is_cut = false;
+    for (int step = 0; step < 12; ++step) {
+      const size_t chosen = RandomBelow(random, 2) == 0
+                                ? load.Owner()
+                                : RandomBelow(random, kMembers);
+      const uint64_t what = RandomBelow(random, 4);
+      if (fleet.IsPaused(chosen)) continue;
+      if (what == 0) {
+        fleet.Stop(chosen);
+        load.RunFor(milliseconds(900));
+        fleet.Kill(chosen);
+        load.RunFor(milliseconds(RandomBelow(random, 3000)));
+        fleet.Add(chosen);
+      } else if (what == 1) {
+        fleet.Kill(chosen);
+        load.RunFor(milliseconds(RandomBelow(random, 5000)));
+        fleet.Add(chosen);
+      } else if (what == 2) {
+        fleet.Pause(chosen, milliseconds(1100 + RandomBelow(random, 5000)));
+      } else if (!is_cut) {
+        is_cut = true;
+        fleet.is_cut = [chosen](size_t from, size_t to) {
+          return from == chosen || to == chosen;
+        };
+      } else {
+        is_cut = false;
+        fleet.is_cut = [](size_t, size_t) { return false; };
+        load.RunFor(seconds(4));
+      }
+      load.RunFor(milliseconds(50 + RandomBelow(random, 6000)));
+    }
+    cr_assert_leq(load.MostFlows(), cold_load::kMostFlows,
+                  "seed %zu: %zu flows in one second",
+                  static_cast<size_t>(seed), load.MostFlows());
+  }
+}
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -119,7 +119,7 @@
   catalog known;
   std::vector<steer_decision> sent_again;
   std::set<backend_server_id> tested;
-  bool owns_cold = false;
+  uint32_t cold_owners = 0;
   metric_registry metrics;
   flow_steering steering{
       Settings(),
@@ -130,7 +130,7 @@
        [this](std::span<const uint8_t>, const steer_decision& d) {
          sent_again.push_back(d);
        },
-       [this](const known_server&) { return owns_cold; },
+       [this](const known_server&) { return cold_owners; },
        [](time_point) { return false; }}};
 
  private:
@@ -509,7 +509,7 @@
   }
   site.Publish();
   cr_assert_eq(site.Open(1).verdict, steer_verdict::kReset);
-  site.owns_cold = true;
+  site.cold_owners = 1;
   std::map<uint64_t, int> flows;
   for (uint16_t port = 10; port < 110; ++port) {
     const steer_decision placed = site.Open(port);
@@ -532,7 +532,7 @@
       server.cold_until = site.now + seconds(60);
       if (name != "1") server.state = server_state::kDraining;
     }
-    site.owns_cold = true;
+    site.cold_owners = 1;
     site.Publish();
     for (uint16_t port = 10; port < 110; ++port) {
       const steer_decision placed = site.Open(port);
@@ -549,6 +549,31 @@
   cr_assert_geq(flows, 10);
 }
 
+// Two owners for a moment, one of which knows that it may not be alone.
+Test(flow_steering, a_cold_server_bears_two_owners_without_a_stated_bound) {
+  int flows = 0;
+  for (const uint32_t owners : {1, 2}) {
+    steering_site site;
+    for (auto& [name, server] : site.known.servers) {
+      server.cold_until = site.now + seconds(60);
+      if (name != "1") server.state = server_state::kDraining;
+    }
+    site.cold_owners = owners;
+    site.Publish();
+    for (uint16_t port = 10; port < 110; ++port) {
+      const steer_decision placed = site.Open(port);
+      if (placed.verdict == steer_verdict::kForward) {
+        ++flows;
+        site.Answer(port, placed.cookie);
+      }
+      site.now += milliseconds(10);
+      site.steering.OnConfirmed(site.now);
+    }
+  }
+  cr_assert_leq(flows, 5);
+  cr_assert_geq(flows, 4);
+}
+
 Test(flow_steering, refuses_at_once_only_what_it_knows_for_certain) {
   steering_site site;
   const endpoint unknown = endpoint::Parse("198.18.0.9:1");
