One unreadable entry no longer hides the others

Cause: the store's answer was parsed as one JSON text, and only then decoded entry by entry. What the parser rejects in one entry of another writer (half a character, bytes that are no UTF-8, a number beyond a double) made the answer malformed, each time that it was asked for.

An object whose name can't be read is left out and logged. A page of only such objects, with more to follow, counts as malformed: it was asked for again without a pause.

--- a/poplarstair/catalog/store_call.h
+++ b/poplarstair/catalog/store_call.h
@@ -83,6 +83,8 @@
   std::vector<store_object> objects;
   /// More pages follow; continue after the last object's name.
   bool has_more = false;
+  /// Objects that are left out, since not even their names could be read.
+  std::vector<unreadable_object> nameless = {};
 };
 
 using store_hook = std::function<void(store_request)>;
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -63,7 +63,8 @@
   void OnReply(time_point now, store_reply reply) {
     if (reply.id != awaited_ || awaited_ == 0) return;
     awaited_ = 0;
-    if (reply.status == store_status::kOk && IsEarlierAnswer(reply)) {
+    if (reply.status == store_status::kOk &&
+        (IsEarlierAnswer(reply) || IsEndlessPage(reply))) {
       reply.status = store_status::kMalformed;
     }
     if (reply.status != store_status::kOk) return OnFailure(now, reply.status);
@@ -74,6 +75,11 @@
       is_lost_ = false;
     }
     is_current_ = true;
+    for (const unreadable_object& object : reply.nameless) {
+      actions_.log(log_record("store_object_unreadable", log_level::kWarning)
+                       .With("collection", NameOf(what_))
+                       .With("problem", object.problem));
+    }
     pause_ = settings_.first_pause;
     if (phase_ == follow_phase::kListing) {
       OnPage(now, std::move(reply));
@@ -150,13 +156,20 @@
         [&first](const store_object& known) { return known.name == first; });
   }
 
+  /// True for a page that more follow, with no name to continue after: the
+  /// store would send it again at once, and for ever.
+  bool IsEndlessPage(const store_reply& reply) const {
+    return phase_ == follow_phase::kListing && reply.has_more &&
+           reply.objects.empty();
+  }
+
   void OnPage(time_point now, store_reply reply) {
     // Later pages may be newer; watching from the first one's revision repeats
     // what they already hold, but misses nothing.
     if (listed_.empty()) first_page_revision_ = reply.revision;
     std::move(reply.objects.begin(), reply.objects.end(),
               std::back_inserter(listed_));
-    if (reply.has_more && !listed_.empty()) return List(listed_.back().name);
+    if (reply.has_more) return List(listed_.back().name);
     revision_ = first_page_revision_;
     confirmed_at_ = now;
     actions_.replaced(revision_, std::exchange(listed_, {}));
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -160,6 +160,18 @@
   cr_assert_eq(store.replaced_objects.at(0), 2u);
 }
 
+// A page of objects without readable names gives no name to go on after: it was
+// asked for again at once, without end.
+Test(store_follower, a_page_without_names_is_not_asked_for_at_once) {
+  followed_store store;
+  store.follower.Follow(0);
+  store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
+  store.Answer(kStart, store_status::kOk, 10, {}, true);
+  cr_assert_eq(store.calls.size(), 2u);
+  store.follower.OnTick(kStart + milliseconds(300));
+  cr_assert_eq(store.calls.size(), 3u);
+}
+
 Test(store_follower, the_copy_of_a_watchs_answer_tells_nothing) {
   followed_store store;
   store.follower.Follow(40);
--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -114,6 +114,59 @@
   }
 }
 
+// One entry that the JSON parser rejects made every answer malformed: nobody
+// learnt of any later change, and instances that started never got ready.
+Test(store_codec, an_entry_that_the_parser_rejects_harms_no_other) {
+  const std::string deep(500'000, '[');
+  const std::string bad[] = {
+      // Half a character, bytes that are no text, and a number beyond a double.
+      R"({"service":"a","zone":"\ud83d","seq":1})",
+      "{\"service\":\"\xff\xfe\",\"seq\":1}", R"({"slots":1e400})", "1e400",
+      // Brackets and quotes within texts.
+      R"({"service":"}]},{\"","zone":"\\"})", R"("\\\"]}")",
+      deep + std::string(deep.size(), ']'),
+      "{\"a\":" + deep + std::string(deep.size(), ']') + "}",
+      R"([{"a":[{"b":[[[1]]]}]}])"};
+  for (const std::string& spec : bad) {
+    const std::string shown = spec.substr(0, 60);
+    const store_reply reply = DecodeServers(spec);
+    cr_assert_eq(reply.status, store_status::kOk, "%s", shown.c_str());
+    cr_assert_eq(reply.objects.size(), 2u, "%s", shown.c_str());
+    cr_assert_eq(reply.objects.at(0).name, "i-1", "%s", shown.c_str());
+    cr_assert(IsUnreadable(reply.objects.at(0)), "%s", shown.c_str());
+    const auto& problem =
+        std::get<unreadable_object>(reply.objects.at(0).content).problem;
+    cr_assert_leq(problem.size(), 200u);
+    cr_assert(std::holds_alternative<server_entry>(reply.objects.at(1).content),
+              "%s", shown.c_str());
+    store_request watch = ListOf(collection::kServers);
+    watch.operation = store_operation::kWatch;
+    const store_reply events =
+        Decode(watch, 200,
+               R"({"events":[{"object":{"meta":{"name":"i-1"},"spec":)" + spec +
+                   R"(},"deleted":false},{"object":{"meta":{"name":"i-2"}},)"
+                   R"("deleted":true}],"at_rev":9})");
+    cr_assert_eq(events.status, store_status::kOk, "%s", shown.c_str());
+    cr_assert(IsUnreadable(events.objects.at(0)), "%s", shown.c_str());
+    cr_assert(events.objects.at(1).is_deleted, "%s", shown.c_str());
+  }
+}
+
+Test(store_codec, an_object_without_a_readable_name_is_left_out) {
+  const std::string bad[] = {R"({"name":"\ud83d"})", R"({"name":7})", "{}",
+                             "null", "\"\xff\""};
+  for (const std::string& meta : bad) {
+    const store_reply reply =
+        Decode(ListOf(collection::kWithdrawals), 200,
+               R"({"items":[{"meta":)" + meta +
+                   R"(},{"meta":{"name":"z"}}],"has_more":true,"at_rev":9})");
+    cr_assert_eq(reply.status, store_status::kOk, "%s", meta.c_str());
+    cr_assert_eq(reply.objects.size(), 1u);
+    cr_assert_eq(reply.nameless.size(), 1u);
+    cr_assert(reply.has_more);
+  }
+}
+
 // "old-i-7" was read as the id of server i-7, whose row the copy took over.
 Test(store_codec, a_name_that_is_no_id_is_unreadable) {
   for (const char* name : {"xyz", "old-i-7", "i-7-old", "i-7-bad", "i-7.b",
