--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -152,6 +152,36 @@
   }
 }
 
+// Packets to port 0, or to an address that is no host's, can't be sent.
+Test(store_codec, an_entry_out_of_range_is_unreadable) {
+  const char* addresses[] = {
+      "10.0.0.1:70000", "10.0.0.1:65536", "10.0.0.1:-1",
+      "10.0.0.1:0",     "10.0.0.1:",      "0.0.0.0:80",
+      "224.0.0.1:80",   "[::1]:80",       "255.255.255.255:80"};
+  for (const char* address : addresses) {
+    const store_reply reply = DecodeServers(
+        R"({"service":"a","address":")" + std::string(address) +
+        R"(","zone":"z","version":"v1","slots":3,"state":"ready",)"
+        R"("cold_remaining_ms":0,"seq":4})");
+    cr_assert(IsUnreadable(reply.objects.at(0)), "%s", address);
+  }
+  const char* numbers[] = {
+      R"("slots":4294967296,"cold_remaining_ms":0,"seq":4)",
+      R"("slots":99999999999999999999999,"cold_remaining_ms":0,"seq":4)",
+      R"("slots":3,"cold_remaining_ms":1e300,"seq":4)",
+      R"("slots":3,"cold_remaining_ms":0,"seq":18446744073709551616)",
+      R"("slots":3,"cold_remaining_ms":0,"seq":4,"born":9223372036854775808)"};
+  for (const char* number : numbers) {
+    const store_reply reply =
+        DecodeServers(R"({"service":"a","address":"10.0.0.1:80","zone":"z",)"
+                      R"("version":"v1","state":"ready",)" +
+                      std::string(number) + "}");
+    cr_assert(IsUnreadable(reply.objects.at(0)), "%s", number);
+    cr_assert(std::holds_alternative<server_entry>(reply.objects.at(1).content),
+              "%s", number);
+  }
+}
+
 Test(store_codec, an_object_without_a_readable_name_is_left_out) {
   const std::string bad[] = {R"({"name":"\ud83d"})", R"({"name":7})", "{}",
                              "null", "\"\xff\""};
