The name that a list goes on after is escaped in the query

Cause: another writer's name may hold a space, '&' or a line break. It went into the query as it is, so that a list of several pages could not go on after it.

--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -197,6 +197,14 @@
   }
 }
 
+Test(store_codec, the_name_that_a_list_continues_after_is_escaped) {
+  store_request request = ListOf(collection::kServers);
+  request.after = "old copy&wait_ms=1\r\n";
+  cr_assert_eq(ToStoreCall(request, endpoint::Parse("10.200.1.7:8169")).url,
+               std::string("http://10.200.1.7:8169/objects/servers?after="
+                           "old%20copy%26wait_ms%3D1%0D%0A"));
+}
+
 // "old-i-7" was read as the id of server i-7, whose row the copy took over.
 Test(store_codec, a_name_that_is_no_id_is_unreadable) {
   for (const char* name : {"xyz", "old-i-7", "i-7-old", "i-7-bad", "i-7.b",
