A datagram that can't be sent costs no other of its batch

Cause: sendmmsg stops at the first datagram that the kernel refuses, e.g. for port 0 or another address family, and the rest of the batch was given up: packets of flows to other servers. Seen by reading, after an entry with such an address was taken for a server's.

Change: the refused one is skipped. A full buffer still ends the batch, as on a full link.

Before: udp_batch a_datagram_that_cant_be_sent_costs_no_other failed (1 call, 0 of 3 sent). After: io_test 7 of 7.

--- a/poplarstair/io/socket.cc
+++ b/poplarstair/io/socket.cc
@@ -207,10 +207,22 @@
       addresses_[i] = ToSocketAddress(d.remote);
       SetHeader(i, parts_[i], addresses_[i]);
     }
-    const int sent =
-        sendmmsg(socket_fd.Get(), headers_.data(),
-                 static_cast<unsigned>(datagrams.size()), MSG_DONTWAIT);
-    return sent < 0 ? 0 : static_cast<size_t>(sent);
+    size_t sent = 0;
+    for (size_t next = 0; next < datagrams.size();) {
+      const int count = sendmmsg(socket_fd.Get(), headers_.data() + next,
+                                 static_cast<unsigned>(datagrams.size() - next),
+                                 MSG_DONTWAIT);
+      if (count > 0) {
+        next += static_cast<size_t>(count);
+        sent += static_cast<size_t>(count);
+      } else if (errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOBUFS) {
+        break;
+      } else {
+        // The kernel refuses this one, e.g. for its address.
+        ++next;
+      }
+    }
+    return sent;
   }
 
  private:
