An overwritten entry moves no flow of its server

An entry of an unknown service under a server's own name still described its row, address included, until the server's next report.

Change: it stands for a missing entry: open flows go on where they are.

Before: flow_steering an_overwritten_entry_moves_no_flow_of_the_server failed.

--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -61,6 +61,10 @@
   const server_row row = FindId(candidate.entry->id);
   if (row == kNoServer) return true;
   const known_server& server = rows_[row];
+  if (!candidate.is_service_known) {
+    return candidate.name == server.entry_name &&
+           candidate.entry->service == server.service;
+  }
   return candidate.name == server.entry_name ||
          Precedes(candidate.is_service_known, candidate.name,
                   server.is_service_known, server.entry_name);
@@ -77,7 +81,9 @@
   for (const auto& [name, entry] : current.servers) {
     description candidate{name, &entry, services.contains(entry.service)};
     if (!MayDescribe(candidate)) {
-      reject(candidate, entry_rejection::kDuplicateId);
+      reject(candidate, candidate.is_service_known
+                            ? entry_rejection::kDuplicateId
+                            : entry_rejection::kUnknownService);
       continue;
     }
     const auto [it, is_first] = chosen.try_emplace(entry.id, selected.size());
@@ -135,16 +141,22 @@
     }
   }
   NoteTakenAddresses();
+  changes.rejected = NoteRejected(std::move(rejected));
+  return changes;
+}
+
+std::vector<rejected_entry> server_set::NoteRejected(
+    std::vector<rejected_entry> rejected) {
   absl::flat_hash_map<std::string, entry_rejection> reasons;
-  for (rejected_entry& entry : rejected) {
-    const auto before = rejected_.find(entry.name);
+  for (const rejected_entry& entry : rejected) {
     reasons[entry.name] = entry.reason;
-    if (before == rejected_.end() || before->second != entry.reason) {
-      changes.rejected.push_back(std::move(entry));
-    }
   }
+  std::erase_if(rejected, [this](const rejected_entry& entry) {
+    const auto before = rejected_.find(entry.name);
+    return before != rejected_.end() && before->second == entry.reason;
+  });
   rejected_ = std::move(reasons);
-  return changes;
+  return rejected;
 }
 
 void server_set::NoteTakenAddresses() {
--- a/poplarstair/steering/server_set.h
+++ b/poplarstair/steering/server_set.h
@@ -112,6 +112,9 @@
       const catalog& current, std::vector<rejected_entry>& rejected) const;
   /// True if the entry may describe the row with its id, if there is one.
   bool MayDescribe(const description& candidate) const;
+  /// Remembers what is rejected now; returns what was not before.
+  std::vector<rejected_entry> NoteRejected(
+      std::vector<rejected_entry> rejected);
   server_row RowOf(backend_server_id id);
   void NoteTakenAddresses();
 
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -430,6 +430,24 @@
   }
 }
 
+// Another writer's entry of an unknown service under the server's own name
+// stands for a missing entry until the server writes again.
+Test(flow_steering, an_overwritten_entry_moves_no_flow_of_the_server) {
+  steering_site site;
+  const steer_decision open = site.OpenAndAnswer(1);
+  const std::string name = std::to_string(open.server.Value());
+  const server_entry own = site.known.servers.at(name);
+  server_entry& entry = site.known.servers.at(name);
+  entry.service = "unknown";
+  entry.address = endpoint::Parse("10.0.0.9:80");
+  site.Publish();
+  cr_assert_eq(site.Data(1, open.cookie, 1, 1).destination, open.destination);
+  cr_assert_neq(site.OpenAndAnswer(2).server, open.server);
+  entry = own;
+  site.Publish();
+  cr_assert_eq(site.Data(1, open.cookie, 101, 1).destination, open.destination);
+}
+
 // Instances that learn of a copied entry and of the server's own one in another
 // order must send a flow to the same address.
 Test(flow_steering, instances_agree_on_two_entries_with_one_id) {
