--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -156,8 +156,8 @@
         [&first](const store_object& known) { return known.name == first; });
   }
 
-  /// True for a page that more follow, with no name to continue after: the
-  /// store would send it again at once, and for ever.
+  /// True if more pages follow, but no object names where to continue. Asking
+  /// again would give the same page.
   bool IsEndlessPage(const store_reply& reply) const {
     return phase_ == follow_phase::kListing && reply.has_more &&
            reply.objects.empty();
@@ -221,7 +221,7 @@
   uint64_t last_call_;
   /// The call under way; 0 for none.
   uint64_t awaited_ = 0;
-  /// What is known was the store's state a moment before the last call.
+  /// The store has confirmed the known revision shortly before the last call.
   bool is_current_ = false;
   bool is_lost_ = false;
   duration pause_{};
--- a/poplarstair/steering/cold_flow_limits.h
+++ b/poplarstair/steering/cold_flow_limits.h
@@ -31,8 +31,8 @@
     }
   }
 
-  /// True if a flow may be opened to the server now by one of `owners`
-  /// instances. Flows are evenly spaced, so that no second has more new flows
+  /// True if this instance, one of `owners`, may open a flow to the server now.
+  /// Flows are evenly spaced, so that no second has more new flows
   /// than a cold server can handle.
   bool Take(time_point now, server_row row, const std::string& service,
             uint32_t owners) {
@@ -48,9 +48,9 @@
   double Rate(const std::string& service, uint32_t owners) const {
     const auto it = bounds_.find(service);
     if (it != bounds_.end()) {
-      // The limit bears two owners that each take themselves for the only one.
-      const double others = std::max(owners / 2.0, 1.0);
-      return it->second * settings_.cold_share / others;
+      // `cold_share` already allows for two owners.
+      const double pairs = std::max(owners / 2.0, 1.0);
+      return it->second * settings_.cold_share / pairs;
     }
     if (owners == 1) return settings_.cold_flows_per_second;
     return std::max(settings_.shared_cold_flows_per_second / owners, 1U);
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -178,8 +178,9 @@
   }
 
  private:
-  /// An instance that stops has told the next owner to go on. One whose timer
-  /// is overdue was paused, which it is about to notice.
+  /// As flow_steering::hooks::cold_owners. An instance that stops has handed
+  /// over to the next owner. One whose tick is overdue was paused, and another
+  /// may own its servers by now.
   uint32_t ColdOwnersOf(const known_server& server) const {
     const bool is_own = server.failure_domain == settings_.peers.failure_domain;
     if (!is_own || is_stopping_ || now_ - last_tick_ > kPauseLimit) {
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -60,8 +60,8 @@
     /// Send a packet that opened a flow once more, as decided.
     std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
         send_again;
-    /// How many instances may open flows to the cold server at once, this one
-    /// among them; 0 if this one must not.
+    /// Upper bound on the instances that open flows to the cold server now,
+    /// including this one; 0 if this one must not.
     std::function<uint32_t(const known_server&)> cold_owners;
     /// True if other instances may serve what this one can't: a new flow that
     /// finds every server silent is then left to its caller's copies, which
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -64,8 +64,8 @@
   uint32_t change_fan_out = 4;
   /// Instances of other domains that are enough to know.
   uint32_t enough_far = 8;
-  /// After a start or a pause the own view is too small to own anything for
-  /// this long.
+  /// An instance owns nothing for this long after a start or a pause, since it
+  /// does not know all others yet.
   duration learning_time = std::chrono::milliseconds(1500);
   /// How long the next owner waits after an owner has said that it stops:
   /// longer than the time between two actions of an owner, so that the two
@@ -142,9 +142,9 @@
   /// True if this instance should follow the store, given how old its catalog
   /// is and whether it follows now.
   bool ShouldFollow(time_point now, duration catalog_age, bool is_following);
-  /// How many instances may act for `key` at once, this one among them; 0 if
-  /// another one of the domain is chosen. More than 1 while instances may not
-  /// hear each other.
+  /// Upper bound on the instances of the domain that act for `key` now,
+  /// including this one; 0 if this one must not act. Above 1 while instances
+  /// may not hear each other.
   uint32_t PossibleOwners(time_point now, uint64_t key) const;
   /// This instance was paused: others may own what it owned.
   void OnPause(time_point now) { settled_from_ = now; }
@@ -200,9 +200,11 @@
   std::map<endpoint, time_point> rumours_;
   /// Lives that have said that they stop.
   std::map<endpoint, incarnation> stopped_;
-  /// Instances of the own domain that have said so lately, with when.
+  /// When instances of the own domain said that they stop; kept for
+  /// `hand_over_time`.
   std::map<endpoint, time_point> leaving_;
-  /// Members of the own domain that fell silent, with when that was noticed.
+  /// When members of the own domain were found silent; kept for
+  /// `lost_peer_time`.
   std::map<endpoint, time_point> lost_;
   time_point started_at_{};
   /// The start, or the end of the last pause.
--- a/poplarstair/steering/server_choice.h
+++ b/poplarstair/steering/server_choice.h
@@ -23,8 +23,8 @@
   /// New flows per second that a cold server gets if operators configured no
   /// limit and no warm server is available.
   double cold_flows_per_second = 3;
-  /// The same for all owners together while there may be several: one of them
-  /// may take itself for the only one.
+  /// The same for all owners together while there may be several. With an owner
+  /// that does not know of the others, a cold server gets five at most.
   uint32_t shared_cold_flows_per_second = 4;
   /// Fraction of a configured limit that the owner of a cold server uses. If
   /// two instances both assume ownership for a moment, their sum stays
@@ -47,8 +47,8 @@
   /// Expected wait in microseconds, with the factor for other domains.
   double expected_wait = 0;
   uint32_t eligible = 0;
-  /// How many instances may open flows to the server, which is cold; 0 if it is
-  /// warm.
+  /// Upper bound on the instances that open flows to the server while it is
+  /// cold; 0 for a warm server.
   uint32_t cold_owners = 0;
 };
 
--- a/poplarstair/steering/server_set.h
+++ b/poplarstair/steering/server_set.h
@@ -112,7 +112,8 @@
       const catalog& current, std::vector<rejected_entry>& rejected) const;
   /// True if the entry may describe the row with its id, if there is one.
   bool MayDescribe(const description& candidate) const;
-  /// Remembers what is rejected now; returns what was not before.
+  /// Stores what is rejected now. Returns the entries that were not rejected
+  /// for the same reason before.
   std::vector<rejected_entry> NoteRejected(
       std::vector<rejected_entry> rejected);
   server_row RowOf(backend_server_id id);
