Each unreadable part of the configuration costs only itself; downloads are a kind of request

Ruled out: routers, readiness, servers; the logs name the field.

Parts of a route, service or limit are decoded one by one; what can't be read is listed, logged once a version, counted and shown in /state. Tables and lists from an instance with an earlier version of the program are used and read anew from the store; enumerators of a later version cost one route's repetition or one server. A split route uses its other service while the chosen one has no server.

--- a/poplarstair/catalog/catalog.h
+++ b/poplarstair/catalog/catalog.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "poplarstair/core/endpoint.h"
@@ -40,12 +41,19 @@
   kNotIdempotent,
   /// As kNotIdempotent, with a large body.
   kUpload,
+  /// As kIdempotent, with a large answer.
+  kDownload,
 };
 
+/// True if the request may be repeated after any failure.
+constexpr bool IsIdempotent(request_kind kind) {
+  return kind == request_kind::kIdempotent || kind == request_kind::kDownload;
+}
+
 template <>
 struct enum_names<request_kind> {
   static constexpr std::string_view kNames[] = {"idempotent", "not_idempotent",
-                                                "upload"};
+                                                "upload", "download"};
 };
 
 struct weighted_service {
@@ -73,6 +81,21 @@
   uint32_t max_flows = 0;
 };
 
+/// A part of the configuration that this version of the program can't read.
+struct unread_part {
+  /// The route or service, by its name or its position.
+  std::string name;
+  /// What is wrong, and what is in force instead.
+  std::string problem;
+
+  friend bool operator==(const unread_part&, const unread_part&) = default;
+};
+
+/// Version of what the program can read in a configuration. To be raised with
+/// each word or field that it learns: a table that an instance with an earlier
+/// version could not read in full is then read anew from the store.
+inline constexpr uint32_t kVocabularyVersion = 2;
+
 /// One version of the whole configuration.
 struct route_table {
   uint64_t version = 0;
@@ -80,6 +103,17 @@
   std::vector<service_limits> services;
   /// Flows without packets for longer may be forgotten.
   duration idle_timeout = std::chrono::seconds(15);
+  /// The first unread parts, at most kMostListed.
+  std::vector<unread_part> unread;
+  /// Number of all unread parts.
+  uint32_t unread_count = 0;
+
+  static constexpr size_t kMostListed = 16;
+
+  void AddUnread(unread_part part) {
+    ++unread_count;
+    if (unread.size() < kMostListed) unread.push_back(std::move(part));
+  }
 };
 
 enum class server_state : uint8_t { kReady, kDraining };
--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <compare>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "poplarstair/core/codec.h"
@@ -58,6 +59,12 @@
                  cold_left_us, born_ms)
 };
 
+struct unread_fields {
+  std::string name;
+  std::string problem;
+  MSGPACK_DEFINE(name, problem)
+};
+
 struct object_fields {
   std::string name;
   store_revision revision = 0;
@@ -90,9 +97,13 @@
   std::vector<std::string> removed;
   /// The collection's number plus one; 0 from instances that do not send it.
   uint8_t what = 0;
+  /// kVocabularyVersion of the sender; 0 from instances that do not send it.
+  uint32_t vocabulary = 0;
+  std::vector<unread_fields> unread;
+  uint32_t unread_count = 0;
   MSGPACK_DEFINE(revision, since, content, version, idle_timeout_us, profiles,
                  routes, services, servers, withdrawn_domains, objects, removed,
-                 what)
+                 what, vocabulary, unread, unread_count)
 };
 
 namespace {
@@ -101,11 +112,10 @@
   return static_cast<uint8_t>(static_cast<uint8_t>(what) + 1);
 }
 
+/// Nothing for an enumerator that only later versions of the program have.
 template <typename Enum>
-Enum CheckedEnum(uint8_t value) {
-  if (value >= std::size(enum_names<Enum>::kNames)) {
-    throw malformed_message("catalog", "unknown enumerator");
-  }
+std::optional<Enum> KnownEnum(uint8_t value) {
+  if (value >= std::size(enum_names<Enum>::kNames)) return std::nullopt;
   return static_cast<Enum>(value);
 }
 
@@ -135,9 +145,15 @@
   for (const service_limits& s : table.services) {
     fields.services.push_back({s.name, s.cold_flows_per_second, s.max_flows});
   }
+  for (const unread_part& part : table.unread) {
+    fields.unread.push_back({part.name, part.problem});
+  }
+  fields.unread_count = table.unread_count;
 }
 
-service_route UnpackProfile(const route_profile_fields& fields) {
+/// A kind of request that is not known here is noted in `table`.
+service_route UnpackProfile(const route_profile_fields& fields,
+                            route_table& table) {
   if (fields.services.size() != fields.weights.size()) {
     throw malformed_message("catalog", "services and weights of a route");
   }
@@ -145,7 +161,12 @@
   for (size_t i = 0; i < fields.services.size(); ++i) {
     route.services.push_back({fields.services[i], fields.weights[i]});
   }
-  route.kind = CheckedEnum<request_kind>(fields.kind);
+  const auto kind = KnownEnum<request_kind>(fields.kind);
+  if (!kind) {
+    table.AddUnread({"kind of request " + std::to_string(fields.kind),
+                     "unknown: never repeated"});
+  }
+  route.kind = kind.value_or(request_kind::kNotIdempotent);
   route.timeout = duration(fields.timeout_us);
   route.latency_target = duration(fields.latency_target_us);
   route.priority = fields.priority;
@@ -156,9 +177,13 @@
   route_table table;
   table.version = fields.version;
   table.idle_timeout = duration(fields.idle_timeout_us);
+  for (const unread_fields& part : fields.unread) {
+    table.AddUnread({part.name, part.problem});
+  }
+  table.unread_count = std::max(table.unread_count, fields.unread_count);
   std::vector<service_route> profiles;
   for (const route_profile_fields& p : fields.profiles) {
-    profiles.push_back(UnpackProfile(p));
+    profiles.push_back(UnpackProfile(p, table));
   }
   for (const route_fields& r : fields.routes) {
     if (r.profile >= profiles.size()) {
@@ -188,13 +213,17 @@
           server.born_ms};
 }
 
-server_entry UnpackServer(time_point now, const server_fields& fields) {
+/// Nothing for a server in a state that is not known here: it gets no flows.
+std::optional<server_entry> UnpackServer(time_point now,
+                                         const server_fields& fields) {
+  const auto state = KnownEnum<server_state>(fields.state);
+  if (!state) return std::nullopt;
   server_entry server;
   server.id = backend_server_id(fields.id);
   server.service = fields.service;
   server.address = endpoint::Unpack(fields.address);
   server.failure_domain = fields.failure_domain;
-  server.state = CheckedEnum<server_state>(fields.state);
+  server.state = *state;
   server.slots = fields.slots;
   server.cold_until = now + duration(fields.cold_left_us);
   server.born_ms = fields.born_ms;
@@ -219,6 +248,7 @@
   for (const store_object& object : objects) Apply(what, object, revision);
   NoteRemoved(what, before, revision);
   SetRevision(what, revision);
+  needs_own_reading_[static_cast<size_t>(what)] = false;
   return true;
 }
 
@@ -346,16 +376,30 @@
              .With("before", catalog_.routes.version)
              .With("routes", routes.routes.size()));
   }
+  const bool is_unread_new = routes.version != catalog_.routes.version ||
+                             routes.unread != catalog_.routes.unread;
   catalog_.routes = routes;
+  if (is_unread_new) LogUnread(routes);
   return true;
 }
 
+void catalog_replica::LogUnread(const route_table& routes) {
+  for (const unread_part& part : routes.unread) {
+    log_(log_record("routes_part_unread", log_level::kWarning)
+             .With("version", routes.version)
+             .With("part", part.name)
+             .With("problem", part.problem)
+             .With("parts", routes.unread_count));
+  }
+}
+
 std::string catalog_replica::Export(time_point now, collection what,
                                     store_revision since) const {
   collection_fields fields;
   fields.revision = Revision(what);
   fields.content = Digest(what);
   fields.what = NumberOf(what);
+  fields.vocabulary = kVocabularyVersion;
   // The other collections are small, or a single object.
   const bool knows_changes = what == collection::kServers && since != 0 &&
                              since >= changes_from_ && since <= fields.revision;
@@ -399,7 +443,9 @@
     catalog_.servers.erase(o.name);
   }
   for (const server_fields& s : fields.servers) {
-    catalog_.servers[s.name] = UnpackServer(now, s);
+    if (const auto server = UnpackServer(now, s)) {
+      catalog_.servers[s.name] = *server;
+    }
   }
   if (Digest(kWhat) == fields.content) {
     SetRevision(kWhat, fields.revision);
@@ -435,7 +481,7 @@
     case collection::kServers: {
       std::map<std::string, server_entry> servers;
       for (const server_fields& s : fields.servers) {
-        servers[s.name] = UnpackServer(now, s);
+        if (const auto server = UnpackServer(now, s)) servers[s.name] = *server;
       }
       catalog_.servers = std::move(servers);
       break;
@@ -451,6 +497,8 @@
   NoteRemoved(what, before, fields.revision);
   SetRevision(what, fields.revision);
   needs_whole_[static_cast<size_t>(what)] = false;
+  needs_own_reading_[static_cast<size_t>(what)] =
+      fields.vocabulary < kVocabularyVersion;
   return true;
 }
 
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -59,6 +59,11 @@
   void Raise(collection what, store_revision revision);
   /// True if every collection is known.
   bool IsComplete() const;
+  /// True if the collection came from an instance with an earlier version of
+  /// the program, which may not be able to read all of it.
+  bool NeedsOwnReading(collection what) const {
+    return needs_own_reading_[static_cast<size_t>(what)];
+  }
 
  private:
   void Apply(collection what, const store_object& object,
@@ -79,6 +84,7 @@
                    store_revision revision);
   bool ImportChanges(time_point now, const collection_fields& fields);
   bool TakeRoutes(const route_table& routes);
+  void LogUnread(const route_table& routes);
   void SetRevision(collection what, store_revision revision) {
     revisions_[static_cast<size_t>(what)] = revision;
   }
@@ -94,6 +100,7 @@
   /// Changes of servers are known from this revision on.
   store_revision changes_from_ = 0;
   std::array<bool, kCollections> needs_whole_{};
+  std::array<bool, kCollections> needs_own_reading_{};
 };
 
 }  // namespace poplarstair
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -60,6 +60,13 @@
     CallAgain();
   }
 
+  void Reload() {
+    if (phase_ == follow_phase::kListing) return;
+    revision_ = 0;
+    pause_ = settings_.first_pause;
+    CallAgain();
+  }
+
   void OnReply(time_point now, store_reply reply) {
     if (reply.id != awaited_ || awaited_ == 0) return;
     awaited_ = 0;
@@ -241,6 +248,7 @@
 void store_follower::Follow(store_revision known) { impl_->Follow(known); }
 void store_follower::Stop() { impl_->Stop(); }
 void store_follower::Restart() { impl_->Restart(); }
+void store_follower::Reload() { impl_->Reload(); }
 void store_follower::OnReply(time_point now, store_reply reply) {
   impl_->OnReply(now, std::move(reply));
 }
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -70,6 +70,9 @@
   void Stop();
   /// Drops the call under way and lists anew, e.g. after a pause.
   void Restart();
+  /// As Load, also if the collection is known or followed: what is known came
+  /// from an instance that can't read all of it.
+  void Reload();
   /// Drops the watch under way, which has missed what a peer knows, and goes on
   /// from `known`.
   void Rewatch(store_revision known);
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -33,7 +33,10 @@
         fetches_(metrics.Counter("catalog_fetches",
                                  "Collections asked of other instances")),
         digest_bytes_(metrics.Counter("digest_bytes",
-                                      "Bytes of digests to other instances")) {
+                                      "Bytes of digests to other instances")),
+        unread_parts_(metrics.Gauge("routes_parts_unread",
+                                    "Parts of the configuration in force that "
+                                    "this version can't read")) {
     for (const collection what : kAllCollections) {
       followers_[Index(what)] = std::make_unique<store_follower>(
           what, FollowerSettings(what), random_source(random()),
@@ -97,7 +100,10 @@
     fetching_[Index(what)] = false;
     if (exported.empty()) return OnFetchFailed(now, peer);
     try {
-      if (replica_.Import(now, what, exported)) OnCatalogChange(now, false);
+      if (replica_.Import(now, what, exported)) {
+        OnCatalogChange(now, false);
+        ReadAnewIfNeeded(what);
+      }
     } catch (const malformed_message& failure) {
       actions_.log(log_record("catalog_malformed", log_level::kWarning)
                        .With("peer", peer.ToString())
@@ -169,6 +175,7 @@
     state["instances"] = peers_.Size() + 1;
     state["routes_version"] = replica_.Current().routes.version;
     state["routes"] = replica_.Current().routes.routes.size();
+    state["unread_parts"] = UnreadParts();
     state["backend_servers"] = replica_.Current().servers.size();
     state["withdrawn_domains"] = replica_.Current().withdrawn_domains;
     state["catalog_age_ms"] = (now - confirmed_at_).count() / 1000;
@@ -195,6 +202,16 @@
     time_point since{};
   };
 
+  /// Parts of the configuration that can't be read, for operators.
+  nlohmann::json UnreadParts() const {
+    const route_table& table = replica_.Current().routes;
+    nlohmann::json listed = nlohmann::json::array();
+    for (const unread_part& part : table.unread) {
+      listed.push_back({{"part", part.name}, {"problem", part.problem}});
+    }
+    return {{"count", table.unread_count}, {"first", listed}};
+  }
+
   static size_t Index(collection what) { return static_cast<size_t>(what); }
 
   follower_settings FollowerSettings(collection what) const {
@@ -229,6 +246,16 @@
          true);
   }
 
+  /// Reads a collection from the store that an instance with an earlier version
+  /// of the program has handed over.
+  void ReadAnewIfNeeded(collection what) {
+    if (!replica_.NeedsOwnReading(what)) return;
+    actions_.log(log_record("catalog_read_anew")
+                     .With("collection", NameOf(what))
+                     .With("revision", replica_.Revision(what)));
+    followers_[Index(what)]->Reload();
+  }
+
   void OnFetchFailed(time_point now, const endpoint& peer) {
     peers_.OnFetchFailed(now, peer);
     start_.OnFetchFailed(now);
@@ -318,6 +345,7 @@
   void OnCatalogChange(time_point now, bool from_store) {
     if (!replica_.IsComplete()) return;
     UpdateConfirmed(now);
+    unread_parts_.Set(replica_.Current().routes.unread_count);
     steering_.OnCatalog(now, replica_.Current());
     // Instances that do not follow the store learn of the change here, one from
     // the other. Other domains have followers of their own.
@@ -497,6 +525,7 @@
   metric& store_calls_;
   metric& fetches_;
   metric& digest_bytes_;
+  metric& unread_parts_;
   std::array<bool, kCollections> fetching_{};
   std::array<gap, kCollections> behind_{};
   bool is_stopping_ = false;
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -228,7 +228,7 @@
     }
     const service_route* route = routes_.Find(packet.service);
     const std::string* service =
-        route == nullptr ? nullptr : route_index::ServiceOf(*route, hash);
+        route == nullptr ? nullptr : ServiceFor(*route, hash);
     if (service == nullptr) {
       return Refuse(now, packet, steer_reason::kUnknownRoute);
     }
@@ -245,6 +245,23 @@
     return Place(now, packet, hash, *route, *service, avoided);
   }
 
+  /// The service that the weights choose; another one of the route while that
+  /// one has no server that takes flows and answers.
+  const std::string* ServiceFor(const service_route& route,
+                                uint64_t hash) const {
+    const std::string* chosen = route_index::ServiceOf(route, hash);
+    if (chosen == nullptr || route.services.size() == 1) return chosen;
+    const auto is_served = [this](const std::string& service) {
+      const auto rows = servers_.OfService(service);
+      return std::any_of(rows.begin(), rows.end(), [this](server_row row) {
+        return servers_.At(row).TakesNewFlows() && !estimates_.IsSilent(row);
+      });
+    };
+    if (is_served(*chosen)) return chosen;
+    const std::string* other = route_index::ServiceOf(route, hash, is_served);
+    return other == nullptr ? chosen : other;
+  }
+
   /// Checks a handshake when it is overdue, unless the client will have sent
   /// its packet again by then, or this instance has done so often enough.
   void Await(time_point now, awaited_handshake sent) {
@@ -282,7 +299,7 @@
     }
     const service_route* route = routes_.Find(overdue.packet.service);
     if (route == nullptr || IsHolding(now)) return;
-    const std::string* service = route_index::ServiceOf(*route, overdue.hash);
+    const std::string* service = ServiceFor(*route, overdue.hash);
     if (service == nullptr) return;
     steer_decision decision = Forward(record.row, steer_reason::kPlacedAgain);
     if (!AnswersOthers(now, record)) {
@@ -391,7 +408,7 @@
       return steer_reason::kServerGone;
     }
     // A request that may not be repeated is lost with its flow: it stays.
-    if (record.kind != request_kind::kIdempotent) {
+    if (!IsIdempotent(record.kind)) {
       return steer_reason::kOpenFlow;
     }
     // Callers and a connection can't tell a lost server from an own link that
--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -2,6 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <functional>
+#include <msgpack.hpp>
+
 #include "poplarstair/core/error.h"
 
 using namespace poplarstair;
@@ -38,6 +42,34 @@
   return catalog_replica([](const log_record&) {});
 }
 
+/// Positions of fields in an exported collection, and of the kind of requests
+/// in a profile of routes.
+constexpr size_t kProfiles = 5;
+constexpr size_t kServersField = 8;
+constexpr size_t kFieldsBeforeVocabulary = 13;
+constexpr size_t kKindInProfile = 2;
+constexpr size_t kStateInServer = 5;
+
+/// An exported collection after `edit`, as another version of the program would
+/// write it.
+std::string Edited(const std::string& exported,
+                   const std::function<void(msgpack::object_array&)>& edit) {
+  const msgpack::object_handle handle =
+      msgpack::unpack(exported.data(), exported.size());
+  msgpack::object top = handle.get();
+  edit(top.via.array);
+  msgpack::sbuffer out;
+  msgpack::pack(out, top);
+  return {out.data(), out.size()};
+}
+
+/// Sets a number in the first entry of a list.
+void SetInFirst(msgpack::object_array& fields, size_t list, size_t field,
+                uint64_t value) {
+  msgpack::object& first = fields.ptr[list].via.array.ptr[0];
+  first.via.array.ptr[field] = msgpack::object(value);
+}
+
 }  // namespace
 
 Test(catalog_replica, another_instance_takes_over_all_that_one_knows) {
@@ -207,3 +239,71 @@
                   malformed_message);
   cr_assert_eq(second.Current().withdrawn_domains.size(), 1u);
 }
+
+Test(catalog_replica, hands_over_what_it_could_not_read) {
+  store_object read = Routes(3);
+  std::get<route_table>(read.content).AddUnread({"route r1", "unknown kind"});
+  std::vector<std::string> events;
+  catalog_replica first = MakeReplica();
+  first.Replace(kNow, collection::kRoutes, 5, {read});
+  catalog_replica second(
+      [&events](const log_record& line) { events.push_back(line.ToLine()); });
+  cr_assert(second.Import(kNow, collection::kRoutes,
+                          first.Export(kNow, collection::kRoutes)));
+  cr_assert_eq(second.Current().routes.unread_count, 1u);
+  cr_assert_eq(second.Current().routes.unread.at(0).name,
+               std::string("route r1"));
+  const auto is_unread_line = [](const std::string& line) {
+    return line.find("routes_part_unread") != std::string::npos;
+  };
+  cr_assert_eq(std::count_if(events.begin(), events.end(), is_unread_line), 1);
+  // The same version, read again, is not logged again.
+  second.Replace(kNow, collection::kRoutes, 6, {read});
+  cr_assert_eq(std::count_if(events.begin(), events.end(), is_unread_line), 1);
+  // Equal versions of the program read the same.
+  cr_assert_not(second.NeedsOwnReading(collection::kRoutes));
+}
+
+// A later version's word made the whole hand-over malformed: an instance that
+// started beside it had no routes.
+Test(catalog_replica, an_unknown_kind_from_a_later_version_is_never_repeated) {
+  catalog_replica first = MakeReplica();
+  first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  const std::string later = Edited(
+      first.Export(kNow, collection::kRoutes),
+      [](auto& fields) { SetInFirst(fields, kProfiles, kKindInProfile, 9); });
+  catalog_replica second = MakeReplica();
+  cr_assert(second.Import(kNow, collection::kRoutes, later));
+  const route_table& table = second.Current().routes;
+  cr_assert_eq(table.routes.at(0).kind, request_kind::kNotIdempotent);
+  cr_assert_eq(table.unread_count, 1u);
+}
+
+Test(catalog_replica, a_server_in_an_unknown_state_is_the_only_one_lost) {
+  catalog_replica first = MakeReplica();
+  first.Replace(kNow, collection::kServers, 5,
+                {Server("i-1", 1), Server("i-2", 2)});
+  const std::string later =
+      Edited(first.Export(kNow, collection::kServers), [](auto& fields) {
+        SetInFirst(fields, kServersField, kStateInServer, 9);
+      });
+  catalog_replica second = MakeReplica();
+  cr_assert(second.Import(kNow, collection::kServers, later));
+  cr_assert_not(second.Current().servers.contains("i-1"));
+  cr_assert(second.Current().servers.contains("i-2"));
+}
+
+// In a fleet of two versions, an instance that knew a word took over a table
+// from one that did not, and kept it.
+Test(catalog_replica, what_an_earlier_version_hands_over_is_to_be_read_anew) {
+  catalog_replica first = MakeReplica();
+  first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  const std::string earlier =
+      Edited(first.Export(kNow, collection::kRoutes),
+             [](auto& fields) { fields.size = kFieldsBeforeVocabulary; });
+  catalog_replica second = MakeReplica();
+  cr_assert(second.Import(kNow, collection::kRoutes, earlier));
+  cr_assert(second.NeedsOwnReading(collection::kRoutes));
+  second.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  cr_assert_not(second.NeedsOwnReading(collection::kRoutes));
+}
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -214,3 +214,23 @@
   cr_assert_eq(store.changed.size(), 1u);
   cr_assert_lt(store.follower.ConfirmedAt(later), later);
 }
+
+// What an instance with an earlier version hands over may lack parts that this
+// one can read.
+Test(store_follower, reloads_what_another_instance_has_handed_over) {
+  followed_store store;
+  store.follower.Follow(40);
+  store.Answer(kStart, store_status::kOk, 40);
+  store.follower.Reload();
+  cr_assert_eq(store.calls.back().operation, store_operation::kList);
+  store.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
+  cr_assert_eq(store.replaced.back(), 41u);
+  cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
+
+  // One that does not follow the store lists once.
+  followed_store idle;
+  idle.follower.Reload();
+  idle.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
+  cr_assert_eq(idle.calls.size(), 1u);
+  cr_assert_not(idle.follower.IsFollowing());
+}
--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -80,6 +80,135 @@
   cr_assert_eq(table.idle_timeout, duration(std::chrono::seconds(15)));
 }
 
+namespace {
+
+/// The configuration with these routes, services and limits.
+object_content DecodeConfiguration(const std::string& routes,
+                                   const std::string& services = "[]",
+                                   const std::string& limits = "{}") {
+  const store_reply reply =
+      Decode(ListOf(collection::kRoutes), 200,
+             R"({"items":[{"meta":{"name":"main"},"spec":{"version":7,)"
+             R"("routes":)" +
+                 routes + R"(,"services":)" + services + R"(,"limits":)" +
+                 limits + R"(}}],"has_more":false,"at_rev":530})");
+  return reply.objects.at(0).content;
+}
+
+std::string RouteText(const std::string& port, const std::string& fields) {
+  return R"({"name":"r)" + port +
+         R"(","hostname":"198.18.0.1","path_prefix":"/)" + port + R"(/",)" +
+         fields + "}";
+}
+
+constexpr const char* kGoodRoute =
+    R"("type":"safe","timeout_ms":1200,"priority":2,"service":"a")";
+
+}  // namespace
+
+Test(store_codec, reads_a_route_of_downloads) {
+  const auto table = std::get<route_table>(DecodeConfiguration(
+      "[" +
+      RouteText("443", R"("type":"download","timeout_ms":8000,)"
+                       R"("service":"a")") +
+      "]"));
+  cr_assert_eq(table.routes.at(0).kind, request_kind::kDownload);
+  cr_assert(IsIdempotent(table.routes.at(0).kind));
+  cr_assert_eq(table.unread_count, 0u);
+}
+
+// A kind of request that the program did not know made the whole table
+// unreadable: every route of every service was lost.
+Test(store_codec, a_route_of_an_unknown_kind_is_routed_and_never_repeated) {
+  const auto table = std::get<route_table>(DecodeConfiguration(
+      "[" +
+      RouteText("443", R"("type":"stream","timeout_ms":8000,)"
+                       R"("service":"a")") +
+      "," + RouteText("80", kGoodRoute) + "]"));
+  cr_assert_eq(table.routes.size(), 2u);
+  cr_assert_eq(table.routes.at(0).kind, request_kind::kNotIdempotent);
+  cr_assert_eq(table.routes.at(1).kind, request_kind::kIdempotent);
+  cr_assert_eq(table.unread_count, 1u);
+  cr_assert_eq(table.unread.at(0).name, std::string("route r443"));
+}
+
+// Each of these made the whole table unreadable.
+Test(store_codec, a_part_that_cant_be_read_costs_only_itself) {
+  struct bad_route {
+    const char* text;
+    bool is_routed;
+    uint32_t unread = 1;
+  };
+  const bad_route bad[] = {
+      {"null", false},
+      {"[]", false},
+      {R"({"name":"x"})", false},
+      {R"({"name":"x","hostname":"nowhere","path_prefix":"/80/","type":"safe","timeout_ms":1,"service":"a"})",
+       false},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"80","type":"safe","timeout_ms":1,"service":"a"})",
+       false},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","timeout_ms":1,"service":7})",
+       false},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","timeout_ms":1,"split":{}})",
+       false},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","timeout_ms":1,"split":[{"service":"a","weight":-1}]})",
+       false, 2},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":4,"timeout_ms":1,"service":"a"})",
+       true},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","service":"a"})",
+       true},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","timeout_ms":1,"aim_ms":"soon","service":"a"})",
+       true},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","timeout_ms":1,"priority":4294967296,"service":"a"})",
+       true},
+      {R"({"name":"x","hostname":"198.18.0.1","path_prefix":"/81/","type":"safe","timeout_ms":1,"split":[{"service":"a","weight":1},{"service":"b","weight":"2"}]})",
+       true}};
+  for (const bad_route& route : bad) {
+    const auto table = std::get<route_table>(
+        DecodeConfiguration("[" + std::string(route.text) + "," +
+                            RouteText("80", kGoodRoute) + "]"));
+    cr_assert_eq(table.routes.size(), route.is_routed ? 2u : 1u, "%s",
+                 route.text);
+    cr_assert_eq(table.routes.back().timeout,
+                 duration(std::chrono::milliseconds(1200)));
+    cr_assert_eq(table.unread_count, route.unread, "%s", route.text);
+  }
+}
+
+Test(store_codec, a_service_or_limit_that_cant_be_read_costs_only_itself) {
+  const auto table = std::get<route_table>(DecodeConfiguration(
+      "[" + RouteText("80", kGoodRoute) + "]",
+      R"([{"name":"a","max_conns":"many","cold_per_s":2.5},{"name":4},)"
+      R"({"name":"b","max_conns":7,"cold_per_s":-1}])",
+      R"({"idle_timeout_ms":"long"})"));
+  cr_assert_eq(table.services.size(), 2u);
+  cr_assert_eq(table.services.at(0).max_flows, 0u);
+  cr_assert_eq(table.services.at(0).cold_flows_per_second, 2.5);
+  cr_assert_eq(table.services.at(1).max_flows, 7u);
+  cr_assert_eq(table.services.at(1).cold_flows_per_second, 0);
+  cr_assert_eq(table.idle_timeout, route_table().idle_timeout);
+  cr_assert_eq(table.unread_count, 4u);
+}
+
+// Taking a table without its lists would drop every route.
+Test(store_codec, a_configuration_without_lists_is_unreadable_as_a_whole) {
+  const char* bad[] = {"3", "null", "{}", R"("none")"};
+  for (const char* routes : bad) {
+    cr_assert(
+        std::holds_alternative<unreadable_object>(DecodeConfiguration(routes)),
+        "%s", routes);
+  }
+}
+
+Test(store_codec, lists_only_the_first_of_many_unread_parts) {
+  std::string routes = "[";
+  for (int i = 0; i < 100; ++i) routes += "null,";
+  const auto table = std::get<route_table>(
+      DecodeConfiguration(routes + RouteText("80", kGoodRoute) + "]"));
+  cr_assert_eq(table.unread_count, 100u);
+  cr_assert_eq(table.unread.size(), route_table::kMostListed);
+}
+
 Test(store_codec, reads_a_backend_server) {
   const store_reply reply = DecodeServers(
       R"({"service":"a","address":"10.128.0.9:8080","zone":"ost-a",)"
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -700,3 +700,93 @@
   }
   cr_assert_not(site.steering.CanServe());
 }
+
+namespace {
+
+/// Services "s" and "t" with two servers each, and a route that is split
+/// between them 9 to 1.
+catalog SplitCatalog() {
+  catalog known;
+  known.routes.version = 1;
+  known.routes.services = {{"s", 0, 0}, {"t", 0, 0}};
+  service_route route;
+  route.address = kFeed;
+  route.kind = request_kind::kIdempotent;
+  route.services = {{"s", 9}, {"t", 1}};
+  known.routes.routes = {route};
+  for (uint64_t id = 1; id <= 4; ++id) {
+    server_entry server;
+    server.id = backend_server_id(id);
+    server.service = id <= 2 ? "s" : "t";
+    server.address = endpoint::Parse("10.0.0." + std::to_string(id) + ":80");
+    server.failure_domain = "a";
+    server.slots = 1000;
+    known.servers[std::to_string(id)] = server;
+  }
+  return known;
+}
+
+/// Of 400 new flows, the number that got a server of service "s"; every flow
+/// has to be forwarded.
+size_t FlowsOfFirstService(steering_site& site, uint16_t first_port) {
+  size_t count = 0;
+  for (uint16_t i = 0; i < 400; ++i) {
+    const steer_decision decision =
+        site.Open(static_cast<uint16_t>(first_port + i));
+    cr_assert_eq(decision.verdict, steer_verdict::kForward);
+    if (decision.server.Value() <= 2) ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+Test(flow_steering, a_split_route_sends_new_flows_by_weight) {
+  steering_site site(SplitCatalog());
+  const size_t count = FlowsOfFirstService(site, 1000);
+  cr_assert(count > 330 && count < 390, "%zu of 400", count);
+}
+
+Test(flow_steering, an_open_flow_stays_at_its_service_when_weights_change) {
+  steering_site site(SplitCatalog());
+  uint16_t port = 1000;
+  steer_decision placed = site.OpenAndAnswer(port);
+  while (placed.server.Value() > 2) placed = site.OpenAndAnswer(++port);
+  site.known.routes.version = 2;
+  site.known.routes.routes[0].services = {{"s", 0}, {"t", 1}};
+  site.Publish();
+  cr_assert_eq(site.Data(port, placed.cookie, 1, 1).server, placed.server);
+  cr_assert_eq(FlowsOfFirstService(site, 3000), 0u);
+}
+
+// New flows were refused though the other service of their route had servers.
+Test(flow_steering, a_split_route_uses_the_service_that_has_servers) {
+  steering_site site(SplitCatalog());
+  for (const char* name : {"1", "2"}) {
+    site.known.servers[name].state = server_state::kDraining;
+  }
+  site.Publish();
+  cr_assert_eq(FlowsOfFirstService(site, 1000), 0u);
+  // A service of weight 0 is not the route's to use.
+  site.known.routes.version = 2;
+  site.known.routes.routes[0].services = {{"s", 1}, {"t", 0}};
+  site.Publish();
+  cr_assert_eq(site.Open(5000).verdict, steer_verdict::kReset);
+}
+
+// A flow that downloads from a server that was lost was kept like one whose
+// request may not be repeated.
+Test(flow_steering, a_download_is_reset_when_its_server_is_gone) {
+  steering_site site;
+  site.known.routes.routes[0].kind = request_kind::kDownload;
+  site.known.routes.version = 2;
+  site.Publish();
+  const backend_server_id lost = SilenceServerOf(site, 1);
+  const flow_cookie cookie = site.Cookie(lost.Value());
+  site.Data(5, cookie, 1, 1);
+  site.now += milliseconds(200);
+  site.Data(5, cookie, 1, 1);
+  site.steering.OnServerChecked(site.now, lost, false);
+  site.now += milliseconds(300);
+  cr_assert_eq(site.Data(5, cookie, 1, 1).verdict, steer_verdict::kReset);
+}
