--- a/performance_test/bench_steering.cc
+++ b/performance_test/bench_steering.cc
@@ -96,6 +96,7 @@
       settings, random_source(seed), metrics,
       {[](const log_record&) {}, [](backend_server_id, const endpoint&) {},
        [](std::span<const uint8_t>, const steer_decision&) {},
+       [](const segment&) {}, [](time_point) { return fleet_facts(); },
        [](const known_server&) { return false; },
        [](time_point) { return false; }});
   steering.OnCatalog(now, replica.Current());
--- a/poplarstair/admission/admission_queue.cc
+++ b/poplarstair/admission/admission_queue.cc
@@ -21,7 +21,8 @@
   const duration time_left = added.wanted.deadline - now;
   const duration attempt_time = AttemptTimeBehind(ahead);
   if (time_left <= duration::zero() || time_left < attempt_time ||
-      supply_.ExpectedWait(now, ahead, priority) > time_left - attempt_time) {
+      supply_.ExpectedWait(now, ahead, static_cast<uint32_t>(priority)) >
+          time_left - attempt_time) {
     return rejected_request{std::move(added), refusal_reason::kDeadlineTooNear};
   }
   supply_.OnWaiting(now);
@@ -53,7 +54,7 @@
     if (queue.empty()) continue;
     queued_request first = std::move(queue.front());
     queue.pop_front();
-    supply_.OnStarted(now, first.wanted.priority);
+    supply_.OnStarted(now, static_cast<uint32_t>(first.wanted.priority));
     NoteIfEmpty();
     return first;
   }
--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "poplarstair/admission/server_speed.h"
 
@@ -22,14 +23,30 @@
   e.load_at = now;
 }
 
+void server_estimates::SetServer(uint32_t row, uint32_t service,
+                                 uint32_t slots) {
+  rows_[row].service = service;
+  rows_[row].slots = std::max(slots, 1U);
+  if (usual_work_.size() <= service) usual_work_.resize(service + 1);
+}
+
+void server_estimates::Forget(uint32_t row) {
+  const estimate known = std::exchange(rows_[row], {});
+  rows_[row].service = known.service;
+  rows_[row].slots = known.slots;
+}
+
 void server_estimates::OnFlowClosed(uint32_t row) {
   estimate& e = rows_[row];
   if (e.flows > 0) --e.flows;
 }
 
-void server_estimates::OnRequestSent(time_point now, uint32_t row) {
-  Smooth(now, rows_[row]);
-  ++rows_[row].in_flight;
+double server_estimates::OnRequestSent(time_point now, uint32_t row) {
+  estimate& e = rows_[row];
+  const double per_slot = PerSlot(now, e, e.slots);
+  Smooth(now, e);
+  ++e.in_flight;
+  return per_slot;
 }
 
 void server_estimates::EndRequest(time_point now, estimate& e) {
@@ -60,11 +77,13 @@
 }
 
 void server_estimates::OnRequestDone(time_point now, uint32_t row,
-                                     duration took) {
+                                     duration took,
+                                     std::optional<double> per_slot) {
   estimate& e = rows_[row];
   EndRequest(now, e);
   NoteAnswer(now, e, true);
   const double sample = static_cast<double>(took.count());
+  if (per_slot) AddWorkTime(now, e, sample / std::max(*per_slot, 1.0));
   const double before = RequestTime(now, e);
   e.request_time = before + settings_.time_weight * (sample - before);
   e.time_at = now;
@@ -75,9 +94,41 @@
                     : usual_time_ + usual_weight * (sample - usual_time_);
 }
 
+void server_estimates::AddWorkTime(time_point now, estimate& e, double sample) {
+  e.work.AddOwn(now, settings_.forget_after, sample);
+  if (usual_work_.size() <= e.service) usual_work_.resize(e.service + 1);
+  double& usual = usual_work_[e.service];
+  const double weight = settings_.time_weight / 8;
+  usual = usual == 0 ? sample : usual + weight * (sample - usual);
+}
+
+void server_estimates::AddPeerWorkTime(time_point now, uint32_t row,
+                                       const work_time_samples& told) {
+  rows_[row].work.AddPeer(now, settings_.forget_after, told);
+}
+
+work_time_samples server_estimates::OwnWorkTime(time_point now,
+                                                uint32_t row) const {
+  return rows_[row].work.Own(now, settings_.forget_after);
+}
+
+double server_estimates::UsualWork(const estimate& e) const {
+  const bool is_known =
+      e.service < usual_work_.size() && usual_work_[e.service] > 0;
+  return is_known ? usual_work_[e.service]
+                  : static_cast<double>(settings_.first_time.count());
+}
+
+work_time_samples server_estimates::WorkTime(time_point now,
+                                             uint32_t row) const {
+  const estimate& e = rows_[row];
+  return e.work.Combined(now, settings_.forget_after, UsualWork(e));
+}
+
 bool server_estimates::OnProgress(time_point now, uint32_t row) {
   estimate& e = rows_[row];
   const bool was_silent = e.is_silent || e.is_on_trial;
+  if (was_silent) e.silence_ended_at = now;
   e.last_progress = now;
   e.is_on_trial = false;
   e.failed_trials = 0;
@@ -184,7 +235,10 @@
 }
 
 double server_estimates::OwnLoad(time_point now, uint32_t row) const {
-  const estimate& e = rows_[row];
+  return SmoothedLoad(now, rows_[row]);
+}
+
+double server_estimates::SmoothedLoad(time_point now, const estimate& e) const {
   const double kept = Decay(now - e.load_at, settings_.load_window);
   return kept * e.smoothed_load + (1 - kept) * e.in_flight;
 }
@@ -198,20 +252,31 @@
   return kept * e.request_time + (1 - kept) * usual;
 }
 
-double server_estimates::Occupancy(time_point now, uint32_t row,
-                                   uint32_t slots) const {
-  const estimate& e = rows_[row];
+double server_estimates::PerSlot(time_point now, const estimate& e,
+                                 uint32_t slots) const {
   const bool has_peers = now - e.peer_load_at <= settings_.peer_load_age;
   const double own =
-      std::max(static_cast<double>(e.in_flight), OwnLoad(now, row));
+      std::max(static_cast<double>(e.in_flight), SmoothedLoad(now, e));
   const double load = own + (has_peers ? e.peer_load : 0);
-  const double penalty = 1 + settings_.unanswered_factor * Unanswered(now, e);
-  return (load + 1) / slots * penalty;
+  return (load + 1) / slots;
+}
+
+double server_estimates::Occupancy(time_point now, uint32_t row,
+                                   uint32_t slots) const {
+  const estimate& e = rows_[row];
+  return PerSlot(now, e, slots) * Penalty(now, e);
+}
+
+double server_estimates::ExpectedWaitBehind(time_point now, uint32_t row,
+                                            uint32_t in_progress,
+                                            uint32_t slots) const {
+  const double per_slot = (in_progress + 1.0) / slots;
+  return per_slot * Penalty(now, rows_[row]) * WorkTime(now, row).mean;
 }
 
 double server_estimates::ExpectedWait(time_point now, uint32_t row,
                                       uint32_t slots) const {
-  return Occupancy(now, row, slots) * RequestTime(now, rows_[row]);
+  return Occupancy(now, row, slots) * WorkTime(now, row).mean;
 }
 
 bool server_estimates::HasFreeSlot(time_point now, uint32_t row,
--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -5,8 +5,10 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+#include "poplarstair/admission/work_time.h"
 #include "poplarstair/core/time.h"
 
 namespace poplarstair {
@@ -17,8 +19,8 @@
   double time_weight = 0.15;
   /// How fast the smoothed work in progress follows.
   duration load_window = std::chrono::milliseconds(500);
-  /// A request time that is not refreshed falls back to the usual one this
-  /// fast, so that a server that was slow is tried again.
+  /// Request and work times that are not refreshed fall back to the usual ones
+  /// this fast, so that a server that was slow is tried again.
   duration forget_after = std::chrono::seconds(4);
   /// Weight of the newest request in the share of unanswered ones.
   double unanswered_weight = 0.1;
@@ -55,14 +57,21 @@
       : settings_(settings) {}
 
   void Resize(size_t rows) { rows_.resize(rows); }
+  /// `service` is the number of the server's service: the usual work time is
+  /// that of its servers.
+  void SetServer(uint32_t row, uint32_t service, uint32_t slots);
   /// Forgets everything about a server that has started anew.
-  void Forget(uint32_t row) { rows_[row] = {}; }
+  void Forget(uint32_t row);
 
   // Events of flows.
   void OnFlowOpened(uint32_t row) { ++rows_[row].flows; }
   void OnFlowClosed(uint32_t row);
-  void OnRequestSent(time_point now, uint32_t row);
-  void OnRequestDone(time_point now, uint32_t row, duration took);
+  /// Returns the requests per slot that the server has with this one.
+  double OnRequestSent(time_point now, uint32_t row);
+  /// `per_slot` is what OnRequestSent returned for the request; nothing if the
+  /// server was silent meanwhile: `took` says little of its work then.
+  void OnRequestDone(time_point now, uint32_t row, duration took,
+                     std::optional<double> per_slot = 1);
   /// A request that ended without an answer after `waited`.
   void OnRequestDropped(time_point now, uint32_t row, duration waited);
   /// The caller has got something new from the server. True if the server
@@ -82,6 +91,9 @@
   /// Another instance sees this much work in progress; the sum over peers is
   /// kept by the caller.
   void SetPeerLoad(time_point now, uint32_t row, double load);
+  /// Work times that another instance of the domain has measured.
+  void AddPeerWorkTime(time_point now, uint32_t row,
+                       const work_time_samples& told);
   /// A server that counted as silent takes connections again: one flow at a
   /// time until one makes progress.
   void OnReachable(time_point now, uint32_t row);
@@ -123,13 +135,24 @@
   uint32_t PeerWitnesses(uint32_t row) const {
     return rows_[row].peer_witnesses;
   }
+  /// When it answered after it had counted as silent.
+  time_point SilenceEndedAt(uint32_t row) const {
+    return rows_[row].silence_ended_at;
+  }
   time_point LastProgress(uint32_t row) const {
     return rows_[row].last_progress;
   }
   /// Work in progress that this instance sees, smoothed.
   double OwnLoad(time_point now, uint32_t row) const;
+  /// Own samples of the work time, to be told to other instances.
+  work_time_samples OwnWorkTime(time_point now, uint32_t row) const;
+  /// The work time of a request at the server, by all samples.
+  work_time_samples WorkTime(time_point now, uint32_t row) const;
   /// Time until a further request would be answered, in microseconds.
   double ExpectedWait(time_point now, uint32_t row, uint32_t slots) const;
+  /// The same behind `in_progress` requests.
+  double ExpectedWaitBehind(time_point now, uint32_t row, uint32_t in_progress,
+                            uint32_t slots) const;
   /// True if a further request would not have to wait for another one.
   bool HasFreeSlot(time_point now, uint32_t row, uint32_t slots) const;
   uint32_t Flows(uint32_t row) const { return rows_[row].flows; }
@@ -144,6 +167,9 @@
     time_point load_at{};
     double peer_load = 0;
     time_point peer_load_at = time_point{};
+    uint32_t service = 0;
+    uint32_t slots = 1;
+    work_time work;
     /// Microseconds; 0 if unknown.
     double request_time = 0;
     time_point time_at{};
@@ -151,6 +177,7 @@
     double unanswered = 0;
     time_point unanswered_at{};
     time_point last_progress = time_point{};
+    time_point silence_ended_at = time_point{};
     /// Flows that wait in vain since the last progress.
     std::array<uint64_t, kMaxWitnesses> waiting_flows{};
     uint8_t waiting = 0;
@@ -166,13 +193,23 @@
   };
 
   void Smooth(time_point now, estimate& e);
+  double SmoothedLoad(time_point now, const estimate& e) const;
+  void AddWorkTime(time_point now, estimate& e, double sample);
   void EndRequest(time_point now, estimate& e);
   void NoteAnswer(time_point now, estimate& e, bool is_answered);
   double Unanswered(time_point now, const estimate& e) const;
   double RequestTime(time_point now, const estimate& e) const;
-  /// Requests per slot with one more, counted higher for a server that leaves
+  /// Requests per slot with one more.
+  double PerSlot(time_point now, const estimate& e, uint32_t slots) const;
+  /// Usual work time at the servers of the same service, in microseconds.
+  double UsualWork(const estimate& e) const;
+  /// As PerSlot, counted higher for a server that leaves
   /// requests unanswered.
   double Occupancy(time_point now, uint32_t row, uint32_t slots) const;
+  /// Factor for a server that leaves requests unanswered.
+  double Penalty(time_point now, const estimate& e) const {
+    return 1 + settings_.unanswered_factor * Unanswered(now, e);
+  }
   static void ClearSilence(estimate& e);
   bool AddWitness(time_point now, estimate& e, uint64_t flow);
   bool BecomeSilent(time_point now, estimate& e);
@@ -181,6 +218,8 @@
   std::vector<estimate> rows_;
   /// Mean request time of all servers, in microseconds; 0 if unknown.
   double usual_time_ = 0;
+  /// Mean work time of each service, in microseconds; 0 if unknown.
+  std::vector<double> usual_work_;
 };
 
 }  // namespace poplarstair
--- a/poplarstair/admission/slot_supply.h
+++ b/poplarstair/admission/slot_supply.h
@@ -1,14 +1,15 @@
-// Measures how often waiting requests get a slot, and of which class they are.
+// Measures how often waiting requests get a slot, and of which priority they
+// are.
 #ifndef POPLARSTAIR_ADMISSION_SLOT_SUPPLY_H_
 #define POPLARSTAIR_ADMISSION_SLOT_SUPPLY_H_
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <deque>
 
 #include "poplarstair/admission/recent_durations.h"
 #include "poplarstair/core/time.h"
-#include "poplarstair/requests/request.h"
 
 namespace poplarstair {
 
@@ -23,20 +24,20 @@
     if (since_ == kNever) since_ = now;
   }
   /// A waiting request has got a slot.
-  void OnStarted(time_point now, request_class priority) {
+  void OnStarted(time_point now, uint32_t priority) {
     intervals_.Add(now - since_);
     since_ = now;
-    classes_.push_back(priority);
-    if (classes_.size() > intervals_.Count()) classes_.pop_front();
+    priorities_.push_back(priority);
+    if (priorities_.size() > intervals_.Count()) priorities_.pop_front();
   }
   /// No request waits any more.
   void OnNoneWaiting() { since_ = kNever; }
 
-  /// Expected wait behind `ahead` others if requests of higher classes go on to
-  /// come as they did lately; duration::max() if those have taken every slot.
-  duration ExpectedWait(time_point now, size_t ahead,
-                        request_class priority) const {
-    if (ahead == 0 || classes_.empty()) return duration::zero();
+  /// Expected wait behind `ahead` others if requests of higher priorities (of
+  /// lower numbers) go on to come as they did lately; duration::max() if those
+  /// have taken every slot.
+  duration ExpectedWait(time_point now, size_t ahead, uint32_t priority) const {
+    if (ahead == 0 || priorities_.empty()) return duration::zero();
     const double taken = ShareOfHigher(priority);
     if (taken == 1) return duration::max();
     return std::chrono::duration_cast<duration>(
@@ -47,21 +48,21 @@
   /// been measured: two standard errors below the mean, if slots come free at
   /// random times.
   duration ShortestWait(time_point now, size_t ahead) const {
-    if (classes_.empty()) return duration::zero();
+    if (priorities_.empty()) return duration::zero();
     const double share =
-        1 - 2 / std::sqrt(static_cast<double>(classes_.size()));
+        1 - 2 / std::sqrt(static_cast<double>(priorities_.size()));
     return std::chrono::duration_cast<duration>(
         Interval(now) * static_cast<double>(ahead) * std::max(share, 0.0));
   }
 
  private:
-  /// Least share of the slots that higher classes take which is compatible with
-  /// the latest starts: two standard errors below what was counted.
-  double ShareOfHigher(request_class priority) const {
+  /// Least share of the slots that higher priorities take which is compatible
+  /// with the latest starts: two standard errors below what was counted.
+  double ShareOfHigher(uint32_t priority) const {
     const auto higher =
-        std::count_if(classes_.begin(), classes_.end(),
-                      [priority](request_class c) { return c < priority; });
-    const auto count = static_cast<double>(classes_.size());
+        std::count_if(priorities_.begin(), priorities_.end(),
+                      [priority](uint32_t p) { return p < priority; });
+    const auto count = static_cast<double>(priorities_.size());
     const double share = static_cast<double>(higher) / count;
     return std::max(0.0, share - 2 * std::sqrt(share * (1 - share) / count));
   }
@@ -76,8 +77,8 @@
   }
 
   recent_durations intervals_;
-  /// Classes of the same starts.
-  std::deque<request_class> classes_;
+  /// Priorities of the same starts.
+  std::deque<uint32_t> priorities_;
   /// The last start, or the begin of the wait if that was later; kNever while
   /// none waits.
   time_point since_ = kNever;
--- a/poplarstair/daemon/entry_daemon_settings.cc
+++ b/poplarstair/daemon/entry_daemon_settings.cc
@@ -27,6 +27,13 @@
       reader.Number("cold_flow_slack", promises.cold_flow_slack, 1, kMostFlows);
 }
 
+void ReadAdmission(toml_reader& reader, admission_settings& admission) {
+  constexpr double kMostRequests = 1000;
+  admission.is_enabled = reader.Bool("enabled", admission.is_enabled);
+  admission.requests_per_slot = reader.Number(
+      "requests_per_slot", admission.requests_per_slot, 1, kMostRequests);
+}
+
 /// Reads a table that has to be there.
 template <typename Read>
 void ReadTable(toml_reader& root, std::string_view name,
@@ -91,6 +98,11 @@
       ReadPromises(reader, settings.promises);
     });
   }
+  if (root.Table("admission") != nullptr) {
+    ReadTable(root, "admission", problems, [&](toml_reader& reader) {
+      ReadAdmission(reader, settings.admission);
+    });
+  }
   root.RejectUnknownKeys();
   if (!problems.empty()) throw config_error(std::move(problems));
   return settings;
--- a/poplarstair/daemon/entry_daemon_settings.h
+++ b/poplarstair/daemon/entry_daemon_settings.h
@@ -7,6 +7,7 @@
 
 #include "poplarstair/core/endpoint.h"
 #include "poplarstair/core/time.h"
+#include "poplarstair/steering/service_admission.h"
 #include "poplarstair/steering/service_promises.h"
 
 namespace poplarstair {
@@ -44,6 +45,7 @@
   /// asks twice a second and turns away after two refusals.
   duration leave_time = std::chrono::milliseconds(2500);
   service_promises promises;
+  admission_settings admission;
   /// How long the store keeps the entry of a backend server that is silent:
   /// until three of its reports have not come.
   duration silent_entry_time{};
--- a/poplarstair/daemon/steering_task.cc
+++ b/poplarstair/daemon/steering_task.cc
@@ -37,6 +37,7 @@
   entry_settings settings;
   settings.steering.failure_domain = file.failure_domain;
   settings.steering.promises = file.promises;
+  settings.steering.admission = file.admission;
   settings.steering.estimates.longest_test = file.silent_entry_time;
   settings.peers.self = file.control;
   settings.peers.failure_domain = file.failure_domain;
@@ -107,6 +108,7 @@
                               const steer_decision& decision) {
       AddForward(packet, decision);
     };
+    hooks.reset = [this](const segment& packet) { AddReset(packet); };
     hooks.check_server = [this](backend_server_id server, endpoint address) {
       board_.checks.Post({server, address});
     };
@@ -127,15 +129,14 @@
   }
 
   void ArmTimer(time_point now) {
-    if (is_armed_) return;
     const time_point due = instance_.NextTimer();
-    if (due == kNever) return;
-    is_armed_ = true;
+    if (due >= armed_for_) return;
+    armed_for_ = due;
     timer_.StartOnce(std::max(due - now, kLeastTimer));
   }
 
   void OnTimer() {
-    is_armed_ = false;
+    armed_for_ = kNever;
     const time_point now = loop_.Now();
     instance_.OnTimer(now);
     SendOut();
@@ -149,12 +150,17 @@
     if (decision.verdict == steer_verdict::kForward) {
       AddForward(bytes, decision);
     } else if (decision.verdict == steer_verdict::kReset) {
-      std::vector<uint8_t>& buffer = NextBuffer();
-      platform_.make_reset(*packet, buffer);
-      out_.push_back({{packet->caller.address, caller_port_}, buffer});
+      AddReset(*packet);
     }
   }
 
+  void AddReset(const segment& refused) {
+    if (out_.size() == udp_batch::kMaxDatagrams) SendOut();
+    std::vector<uint8_t>& buffer = NextBuffer();
+    platform_.make_reset(refused, buffer);
+    out_.push_back({{refused.caller.address, caller_port_}, buffer});
+  }
+
   void AddForward(std::span<const uint8_t> bytes,
                   const steer_decision& decision) {
     if (out_.size() == udp_batch::kMaxDatagrams) SendOut();
@@ -185,6 +191,7 @@
     last_tick_ = now;
     suspended_ = suspended;
     instance_.OnTick(now);
+    SendOut();
   }
 
   void OnMessage(steering_message& message) {
@@ -241,7 +248,8 @@
   const uint16_t caller_port_;
   timer_watcher ticker_;
   timer_watcher timer_;
-  bool is_armed_ = false;
+  /// When the timer is due; kNever if it is not running.
+  time_point armed_for_ = kNever;
   udp_batch batch_;
   udp_batch sender_;
   std::array<std::vector<uint8_t>, udp_batch::kMaxDatagrams> out_buffers_;
--- a/poplarstair/diagnosis/failure_explainer.cc
+++ b/poplarstair/diagnosis/failure_explainer.cc
@@ -97,6 +97,14 @@
                            std::string(refused.back()->Field("routes_version")),
                        refused);
     }
+    if (reason == "no_room") {
+      const auto is_short = FindNearby([&](const log_line& line) {
+        return line.event == "service_short" && line.instance == instance;
+      });
+      return SetResult(failure_cause::kNoRoom,
+                       instance + " had no room for a flow of its priority",
+                       is_short);
+    }
     const auto cut = FindNearby([&](const log_line& line) {
       return line.event == "domain_cut_off" && line.instance == instance;
     });
--- a/poplarstair/diagnosis/failure_explainer.h
+++ b/poplarstair/diagnosis/failure_explainer.h
@@ -30,13 +30,15 @@
   /// a confirmed catalog, or the instance was cut off from the domains that
   /// have servers.
   kInstanceNotReady,
+  /// The service had no room for a flow of its priority.
+  kNoRoom,
 };
 
 template <>
 struct enum_names<failure_cause> {
   static constexpr std::string_view kNames[] = {
-      "unknown",        "no_route",      "no_server",         "server_silent",
-      "domain_cut_off", "instance_lost", "instance_not_ready"};
+      "unknown",        "no_route",      "no_server",          "server_silent",
+      "domain_cut_off", "instance_lost", "instance_not_ready", "no_room"};
 };
 
 /// A failed request as its client saw it.
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "poplarstair/catalog/catalog_replica.h"
 #include "poplarstair/core/error.h"
+#include "poplarstair/steering/steering_log.h"
 
 namespace poplarstair {
 
@@ -85,6 +87,8 @@
     if (digest.failure_domain == settings_.peers.failure_domain) {
       steering_.OnPeerReports(now, HashBytes(digest.sender.Pack()),
                               digest.reports);
+    } else {
+      steering_.OnFarLoads(now, digest.failure_domain, digest.services);
     }
     if (digest.wants_reply && !is_stopping_) {
       Send(now, {digest.sender}, digest.failure_domain);
@@ -168,7 +172,7 @@
     return replica_.Export(now, what, since);
   }
 
-  std::string StateJson(time_point now) const {
+  std::string StateJson(time_point now) {
     nlohmann::json state;
     state["ready"] = IsReady(now);
     state["stopping"] = is_stopping_;
@@ -181,6 +185,8 @@
     state["catalog_age_ms"] = (now - confirmed_at_).count() / 1000;
     state["follows_store"] = followers_[0]->IsFollowing();
     state["flows"] = steering_.OpenFlows();
+    state["slowest_servers"] = SlowestServers(now);
+    state["admission"] = Admission(now);
     return state.dump(2) + "\n";
   }
 
@@ -202,6 +208,40 @@
     time_point since{};
   };
 
+  /// Services whose requests are limited, for operators.
+  nlohmann::json Admission(time_point now) {
+    nlohmann::json listed = nlohmann::json::object();
+    for (const auto& [service, s] : steering_.Admission(now)) {
+      const bool is_short = s.short_since != kNever;
+      listed[service] = {
+          {"room", s.room},
+          {"in_progress", s.in_progress},
+          {"waiting", s.waiting},
+          {"short_of_room", is_short},
+          {"short_for_ms", is_short ? (now - s.short_since).count() / 1000 : 0},
+          {"held", s.held},
+          {"refused", s.refused}};
+    }
+    return listed;
+  }
+
+  /// What is believed of the servers that take longest, for operators.
+  nlohmann::json SlowestServers(time_point now) const {
+    constexpr size_t kMost = 64;
+    nlohmann::json listed = nlohmann::json::array();
+    for (const server_belief& belief : steering_.ServerBeliefs(now, kMost)) {
+      listed.push_back({{"server", ServerName(belief.id)},
+                        {"service", belief.service},
+                        {"domain", belief.failure_domain},
+                        {"work_us", std::lround(belief.work.mean)},
+                        {"samples", std::lround(belief.work.count)},
+                        {"load", belief.load},
+                        {"silent", belief.is_silent},
+                        {"takes_flows", belief.takes_flows}});
+    }
+    return listed;
+  }
+
   /// Parts of the configuration that can't be read, for operators.
   nlohmann::json UnreadParts() const {
     const route_table& table = replica_.Current().routes;
@@ -283,6 +323,11 @@
     result.log = actions_.log;
     result.check_server = actions_.check_server;
     result.send_again = actions_.send_again;
+    result.reset = actions_.reset;
+    result.fleet = [this](time_point now) {
+      return fleet_facts{peers_.InstancesOfDomain(), peers_.IndexInDomain(),
+                         peers_.Domains(), peers_.IsSettled(now)};
+    };
     result.cold_owners = [this](const known_server& server) {
       return ColdOwnersOf(server);
     };
@@ -479,6 +524,7 @@
     digest.contents = state.contents;
     digest.age = now - confirmed_at_;
     digest.reports = steering_.Reports(now);
+    digest.services = steering_.ServiceLoads();
     digest.peers = peers_.NamedPeers(now, named_domain);
     return digest;
   }
@@ -493,8 +539,23 @@
   void Send(time_point now, std::vector<endpoint> peers,
             const std::string& named_domain, bool wants_reply = false) {
     if (peers.empty()) return;
-    std::string bytes =
-        EncodeDigest(MakeDigest(now, named_domain, wants_reply));
+    peer_digest digest = MakeDigest(now, named_domain, wants_reply);
+    // Reports on servers are used by the own domain, loads by the others.
+    const auto others = std::partition(
+        peers.begin(), peers.end(),
+        [this](const endpoint& peer) { return !peers_.IsFar(peer); });
+    const std::vector<endpoint> far(others, peers.end());
+    peers.erase(others, peers.end());
+    std::vector<service_load> loads = std::exchange(digest.services, {});
+    SendDigest(std::move(peers), digest);
+    digest.reports.clear();
+    digest.services = std::move(loads);
+    SendDigest(far, digest);
+  }
+
+  void SendDigest(std::vector<endpoint> peers, const peer_digest& digest) {
+    if (peers.empty()) return;
+    std::string bytes = EncodeDigest(digest);
     digest_bytes_.Add(bytes.size() * peers.size());
     actions_.send_digest(std::move(peers), std::move(bytes));
   }
@@ -581,7 +642,7 @@
                                              store_revision since) const {
   return impl_->ExportCollection(now, what, since);
 }
-std::string entry_instance::StateJson(time_point now) const {
+std::string entry_instance::StateJson(time_point now) {
   return impl_->StateJson(now);
 }
 
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -48,9 +48,10 @@
     std::function<void(const endpoint& peer, collection what,
                        store_revision since)>
         fetch;
-    /// Send a packet that opened a flow once more, as decided.
+    /// As flow_steering::hooks.
     std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
         send_again;
+    std::function<void(const segment& packet)> reset;
     /// Test whether a backend server takes connections; answered by
     /// OnServerChecked.
     std::function<void(backend_server_id, endpoint)> check_server;
@@ -94,7 +95,7 @@
   std::string ExportCollection(time_point now, collection what,
                                store_revision since) const;
   /// State as a JSON object, for operators.
-  std::string StateJson(time_point now) const;
+  std::string StateJson(time_point now);
 
  private:
   class impl;
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -19,6 +19,11 @@
 constexpr size_t kMaxReports = 64;
 /// Load below which a server is not worth reporting.
 constexpr double kReportedLoad = 0.05;
+/// Servers that one report names for their work time alone. In turn, so that
+/// digests stay small and a domain hears of each server every second or two.
+constexpr size_t kWorkTimeReports = 8;
+/// Fewer samples than this are not worth reporting.
+constexpr double kReportedSamples = 0.5;
 /// With so many servers silent, and no answer from any for as long as clients
 /// try to open a flow, it is this instance that is cut off.
 constexpr uint32_t kCutOffServers = 3;
@@ -35,38 +40,43 @@
         actions_(std::move(actions)),
         flows_(settings.estimates, metrics, TrackerHooks()),
         estimates_(flows_.Estimates()),
-        cold_limits_(settings.promises) {
+        cold_limits_(settings.promises),
+        admission_(settings.admission, metrics, actions_.log) {
     for (size_t i = 0; i < decisions_.size(); ++i) {
       const auto reason = std::string(NameOf(static_cast<steer_reason>(i)));
       decisions_[i] = &metrics_.Counter(
           "flow_decisions{reason=\"" + reason + "\"}", "Packets by reason");
     }
+    samples_received_ =
+        &metrics_.Counter("server_samples_received",
+                          "Work times of servers that other instances "
+                          "have reported");
   }
 
   steer_decision OnSegment(time_point now, const segment& packet,
                            std::span<const uint8_t> bytes) {
     const uint64_t hash = packet.FlowHash();
     const steer_decision decision = packet.opens_flow
-                                        ? OnOpening(now, packet, hash)
+                                        ? OnOpening(now, packet, hash, bytes)
                                         : OnOpenFlow(now, packet, hash);
     if (packet.opens_flow && decision.verdict == steer_verdict::kForward) {
-      awaited_handshake sent;
-      sent.hash = hash;
-      sent.packet = packet;
-      sent.bytes.assign(bytes.begin(), bytes.end());
-      sent.next_copy_at = now + TimeToNextCopy(packet.copy);
-      Await(now, std::move(sent));
+      AwaitHandshake(now, packet, hash, bytes);
     }
     decisions_[static_cast<size_t>(decision.reason)]->Add();
+    // Its answer may have ended a request that left room.
+    if (!packet.opens_flow) DecideHeld(now);
     return decision;
   }
 
-  time_point NextHandshakeCheck() const { return awaited_.NextDue(); }
+  time_point NextHandshakeCheck() const {
+    return std::min(awaited_.NextDue(), admission_.NextDue());
+  }
 
   void OnHandshakeTimer(time_point now) {
     while (auto overdue = awaited_.TakeDue(now)) {
       OnOverdue(now, std::move(*overdue));
     }
+    DecideHeld(now);
   }
 
   void OnCatalog(time_point now, const catalog& current) {
@@ -85,7 +95,10 @@
                        .With("routes_version", current.routes.version));
     }
     estimates_.Resize(servers_.Size());
+    NumberServices();
     routes_.Update(current.routes);
+    admission_.OnRoutes(current.routes);
+    UpdateRoom(now);
     services_.clear();
     for (const service_limits& s : current.routes.services) {
       services_.push_back(s.name);
@@ -128,12 +141,23 @@
       const server_report sum = peer_loads_.Sum(
           now, settings_.estimates.peer_load_age, report.server);
       estimates_.SetPeerLoad(now, row, sum.load);
+      if (report.work.count > 0) {
+        estimates_.AddPeerWorkTime(now, row, report.work);
+        samples_received_->Add();
+      }
       if (estimates_.OnPeerWitnesses(now, row, sum.witnesses)) {
         LogSilence(now, row, "peer");
       }
     }
   }
 
+  std::vector<service_load> ServiceLoads() const { return admission_.Loads(); }
+
+  void OnFarLoads(time_point now, const std::string& domain,
+                  const std::vector<service_load>& loads) {
+    admission_.OnPeerLoads(now, domain, loads);
+  }
+
   void OnServerChecked(time_point now, backend_server_id server,
                        bool is_reachable) {
     const server_row row = servers_.FindId(server);
@@ -150,9 +174,16 @@
       flows_.Sweep(now, idle_timeout_, longest_request_);
     }
     TestSilentServers(now);
+    if (now >= next_room_update_) UpdateRoom(now);
+    DecideHeld(now);
+    admission_.OnTick(now);
   }
 
-  std::vector<server_report> Reports(time_point now) const {
+  std::vector<service_admission::named_summary> Admission(time_point now) {
+    return admission_.Summaries(now);
+  }
+
+  std::vector<server_report> Reports(time_point now) {
     std::vector<server_report> reports;
     for (server_row row = 0; row < servers_.Size(); ++row) {
       const known_server& server = servers_.At(row);
@@ -160,12 +191,32 @@
       const double load = estimates_.OwnLoad(now, row);
       const uint32_t witnesses = estimates_.OwnWitnesses(now, row);
       if (load < kReportedLoad && witnesses == 0) continue;
-      reports.push_back({server.cookie, load, witnesses});
+      reports.push_back(
+          {server.cookie, load, witnesses, estimates_.OwnWorkTime(now, row)});
       if (reports.size() == kMaxReports) break;
     }
+    AddWorkTimeReports(now, reports);
     return reports;
   }
 
+  std::vector<server_belief> ServerBeliefs(time_point now, size_t most) const {
+    std::vector<server_belief> beliefs;
+    for (server_row row = 0; row < servers_.Size(); ++row) {
+      const known_server& server = servers_.At(row);
+      if (server.gone_at != kNever) continue;
+      beliefs.push_back({server.id, server.service, server.failure_domain,
+                         estimates_.WorkTime(now, row),
+                         estimates_.OwnLoad(now, row), estimates_.IsSilent(row),
+                         server.TakesNewFlows()});
+    }
+    std::stable_sort(beliefs.begin(), beliefs.end(),
+                     [](const server_belief& a, const server_belief& b) {
+                       return a.work.mean > b.work.mean;
+                     });
+    if (beliefs.size() > most) beliefs.resize(most);
+    return beliefs;
+  }
+
   size_t OpenFlows() const { return flows_.Size(); }
 
   bool CanServe() const {
@@ -194,6 +245,82 @@
   }
 
  private:
+  /// Tells the estimates which servers have the same service.
+  void NumberServices() {
+    for (server_row row = 0; row < servers_.Size(); ++row) {
+      const known_server& server = servers_.At(row);
+      estimates_.SetServer(row, admission_.NumberOf(server.service),
+                           server.slots);
+    }
+  }
+
+  void NoteStarted(time_point now, uint64_t flow, server_row row) {
+    admission_.OnStarted(now, flow, row, servers_.At(row),
+                         settings_.failure_domain);
+  }
+
+  void UpdateRoom(time_point now) {
+    next_room_update_ = now + service_admission::kUpdateInterval;
+    admission_.UpdateRoom(now, servers_, estimates_, settings_.failure_domain,
+                          actions_.fleet(now));
+  }
+
+  void AwaitHandshake(time_point now, const segment& packet, uint64_t hash,
+                      std::span<const uint8_t> bytes) {
+    awaited_handshake sent;
+    sent.hash = hash;
+    sent.packet = packet;
+    sent.bytes.assign(bytes.begin(), bytes.end());
+    sent.next_copy_at = now + TimeToNextCopy(packet.copy);
+    Await(now, std::move(sent));
+  }
+
+  /// Places held flows for which there is room, and refuses those that can't
+  /// be placed in time any more.
+  void DecideHeld(time_point now) {
+    while (auto held = admission_.TakeNext(now)) {
+      // Another instance may have forwarded a copy: to forward this one would
+      // move the flow, and to refuse it would be untrue.
+      if (held->is_stale || flows_.Find(held->hash) != nullptr) continue;
+      const service_route* route = routes_.Find(held->packet.service);
+      steer_decision decision;
+      if (route == nullptr) {
+        decision = Refuse(now, held->packet, steer_reason::kUnknownRoute);
+      } else if (held->verdict == admission_verdict::kRefuse) {
+        decision = Refuse(now, held->packet, steer_reason::kNoRoom);
+      } else if (IsHolding(now)) {
+        continue;
+      } else {
+        decision = Place(now, held->packet, held->hash, *route, held->service,
+                         kNoServer);
+      }
+      decisions_[static_cast<size_t>(decision.reason)]->Add();
+      if (decision.verdict == steer_verdict::kForward) {
+        actions_.send_again(held->bytes, decision);
+        AwaitHandshake(now, held->packet, held->hash, held->bytes);
+      } else if (decision.verdict == steer_verdict::kReset) {
+        actions_.reset(held->packet);
+      }
+    }
+  }
+
+  /// Adds work times of servers that are not reported for another reason.
+  void AddWorkTimeReports(time_point now, std::vector<server_report>& reports) {
+    const size_t limit =
+        std::min(reports.size() + kWorkTimeReports, kMaxReports);
+    for (size_t i = 0; i < servers_.Size() && reports.size() < limit; ++i) {
+      next_told_ = (next_told_ + 1) % servers_.Size();
+      const known_server& server = servers_.At(next_told_);
+      if (server.gone_at != kNever) continue;
+      const work_time_samples work = estimates_.OwnWorkTime(now, next_told_);
+      const bool is_reported =
+          estimates_.OwnLoad(now, next_told_) >= kReportedLoad ||
+          estimates_.OwnWitnesses(now, next_told_) > 0;
+      if (is_reported || work.count < kReportedSamples) continue;
+      reports.push_back({server.cookie, 0, 0, work});
+    }
+  }
+
   /// True if a server of the service answers, or there is none to be silent.
   bool HasServer(const std::string& service) const {
     bool has_silent = false;
@@ -217,8 +344,8 @@
     return now < hold_until_ && confirmed_at_ <= paused_at_;
   }
 
-  steer_decision OnOpening(time_point now, const segment& packet,
-                           uint64_t hash) {
+  steer_decision OnOpening(time_point now, const segment& packet, uint64_t hash,
+                           std::span<const uint8_t> bytes) {
     flow_record* record = flows_.Find(hash);
     if (record != nullptr && record->is_open) {
       return Forward(record->row, steer_reason::kOpenFlow);
@@ -228,10 +355,13 @@
     }
     const service_route* route = routes_.Find(packet.service);
     const std::string* service =
-        route == nullptr ? nullptr : ServiceFor(*route, hash);
+        route == nullptr ? nullptr : ServiceFor(*route, hash, record);
     if (service == nullptr) {
       return Refuse(now, packet, steer_reason::kUnknownRoute);
     }
+    if (admission_.IsHeld(hash)) {
+      return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
+    }
     server_row avoided = kNoServer;
     if (record != nullptr) {
       record->copied_at = now;
@@ -241,24 +371,66 @@
         return Forward(record->row, steer_reason::kPlacedAgain);
       }
       avoided = record->row;
+    } else {
+      const admission_verdict verdict =
+          Admit(now, packet, hash, bytes, *route, service);
+      if (verdict == admission_verdict::kHold) {
+        return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
+      }
+      if (verdict == admission_verdict::kRefuse) {
+        // Another instance may have forwarded an earlier copy.
+        return Refuse(now, packet, steer_reason::kNoRoom, packet.copy > 0);
+      }
     }
     return Place(now, packet, hash, *route, *service, avoided);
   }
 
+  /// Another service of the route replaces `service` if it has a free slot and
+  /// that one has no room.
+  admission_verdict Admit(time_point now, const segment& packet, uint64_t hash,
+                          std::span<const uint8_t> bytes,
+                          const service_route& route,
+                          const std::string*& service) {
+    const duration handshake = flows_.Handshakes().Timeout();
+    if (route.services.size() > 1 && !admission_.HasRoom(now, *service)) {
+      const std::string* other =
+          route_index::ServiceOf(route, hash, [&](const std::string& name) {
+            return name != *service && IsServed(name) &&
+                   admission_.HasFreeSlot(now, name);
+          });
+      if (other != nullptr) service = other;
+    }
+    return admission_.Offer(now, packet, hash, bytes, *service, route.priority,
+                            handshake);
+  }
+
+  /// True if a server of the service takes flows and answers.
+  bool IsServed(const std::string& service) const {
+    const auto rows = servers_.OfService(service);
+    return std::any_of(rows.begin(), rows.end(), [this](server_row row) {
+      return servers_.At(row).TakesNewFlows() && !estimates_.IsSilent(row);
+    });
+  }
+
   /// The service that the weights choose; another one of the route while that
-  /// one has no server that takes flows and answers.
-  const std::string* ServiceFor(const service_route& route,
-                                uint64_t hash) const {
+  /// one has no server that takes flows and answers. A flow that was sent to a
+  /// server of the route, if `record` is set, stays at its service.
+  const std::string* ServiceFor(const service_route& route, uint64_t hash,
+                                const flow_record* record) const {
+    if (record != nullptr && record->row != kNoServer) {
+      const std::string& used = servers_.At(record->row).service;
+      for (const weighted_service& s : route.services) {
+        if (s.weight > 0 && s.service == used && IsServed(used)) {
+          return &s.service;
+        }
+      }
+    }
     const std::string* chosen = route_index::ServiceOf(route, hash);
     if (chosen == nullptr || route.services.size() == 1) return chosen;
-    const auto is_served = [this](const std::string& service) {
-      const auto rows = servers_.OfService(service);
-      return std::any_of(rows.begin(), rows.end(), [this](server_row row) {
-        return servers_.At(row).TakesNewFlows() && !estimates_.IsSilent(row);
-      });
-    };
-    if (is_served(*chosen)) return chosen;
-    const std::string* other = route_index::ServiceOf(route, hash, is_served);
+    if (IsServed(*chosen)) return chosen;
+    const std::string* other = route_index::ServiceOf(
+        route, hash,
+        [this](const std::string& name) { return IsServed(name); });
     return other == nullptr ? chosen : other;
   }
 
@@ -299,7 +471,7 @@
     }
     const service_route* route = routes_.Find(overdue.packet.service);
     if (route == nullptr || IsHolding(now)) return;
-    const std::string* service = ServiceFor(*route, overdue.hash);
+    const std::string* service = ServiceFor(*route, overdue.hash, &record);
     if (service == nullptr) return;
     steer_decision decision = Forward(record.row, steer_reason::kPlacedAgain);
     if (!AnswersOthers(now, record)) {
@@ -325,8 +497,13 @@
   steer_decision Place(time_point now, const segment& packet, uint64_t hash,
                        const service_route& route, const std::string& service,
                        server_row avoided) {
-    const choice_context context{servers_, estimates_, settings_.failure_domain,
-                                 actions_.cold_owners};
+    const choice_context context{
+        servers_,
+        estimates_,
+        settings_.failure_domain,
+        actions_.cold_owners,
+        admission_.Candidates(now, service, servers_),
+        [&](server_row row) { return admission_.InProgressAt(service, row); }};
     server_choice choice =
         ChooseServer(now, context, settings_.choice, service, avoided, random_);
     if (choice.cold_owners > 0 &&
@@ -349,6 +526,7 @@
     record.sent_at = now;
     record.last_seen = now;
     if (record.request_at == time_point{}) record.request_at = now;
+    NoteStarted(now, hash, choice.row);
     const steer_reason reason =
         choice.cold_owners > 0 ? steer_reason::kPlacedCold
         : avoided != kNoServer ? steer_reason::kPlacedAgain
@@ -441,7 +619,9 @@
   /// others may serve it, its copy may find more.
   steer_decision Refuse(time_point now, const segment& packet,
                         steer_reason reason, bool others_may_serve = false) {
-    const bool is_final = IsFresh(now) && !others_may_serve;
+    // Room does not depend on how old the catalog is.
+    const bool is_known = reason == steer_reason::kNoRoom || IsFresh(now);
+    const bool is_final = is_known && !others_may_serve;
     actions_.log(
         RefusedLine(Facts(now), packet, reason, routes_.Version(), is_final));
     return {is_final ? steer_verdict::kReset : steer_verdict::kDrop,
@@ -486,6 +666,12 @@
         },
         [this](time_point now, server_row row, std::string_view source) {
           LogSilence(now, row, source);
+        },
+        [this](time_point now, uint64_t flow, server_row row) {
+          NoteStarted(now, flow, row);
+        },
+        [this](time_point now, uint64_t flow, std::optional<duration> took) {
+          admission_.OnEnded(now, flow, took);
         }};
   }
 
@@ -496,12 +682,14 @@
   server_set servers_;
   route_index routes_;
   std::vector<std::string> services_;
+  metric* samples_received_ = nullptr;
   flow_tracker flows_;
   server_estimates& estimates_;
   peer_loads peer_loads_;
   std::array<metric*, std::size(enum_names<steer_reason>::kNames)> decisions_{};
   awaited_handshakes awaited_;
   cold_flow_limits cold_limits_;
+  service_admission admission_;
   duration idle_timeout_ = std::chrono::seconds(15);
   /// Longest timeout of any route; duration::max() if none is stated.
   duration longest_request_ = duration::max();
@@ -512,7 +700,9 @@
   time_point paused_at_{};
   time_point hold_until_{};
   time_point next_sweep_{};
+  time_point next_room_update_{};
   server_row next_checked_ = 0;
+  server_row next_told_ = 0;
 };
 
 flow_steering::flow_steering(const steering_settings& settings,
@@ -546,14 +736,29 @@
                                   const std::vector<server_report>& reports) {
   impl_->OnPeerReports(now, peer, reports);
 }
+std::vector<service_load> flow_steering::ServiceLoads() const {
+  return impl_->ServiceLoads();
+}
+void flow_steering::OnFarLoads(time_point now, const std::string& domain,
+                               const std::vector<service_load>& loads) {
+  impl_->OnFarLoads(now, domain, loads);
+}
 void flow_steering::OnServerChecked(time_point now, backend_server_id server,
                                     bool is_reachable) {
   impl_->OnServerChecked(now, server, is_reachable);
 }
 void flow_steering::OnTick(time_point now) { impl_->OnTick(now); }
-std::vector<server_report> flow_steering::Reports(time_point now) const {
+std::vector<server_report> flow_steering::Reports(time_point now) {
   return impl_->Reports(now);
 }
+std::vector<server_belief> flow_steering::ServerBeliefs(time_point now,
+                                                        size_t most) const {
+  return impl_->ServerBeliefs(now, most);
+}
+std::vector<service_admission::named_summary> flow_steering::Admission(
+    time_point now) {
+  return impl_->Admission(now);
+}
 size_t flow_steering::OpenFlows() const { return impl_->OpenFlows(); }
 bool flow_steering::CanServe() const { return impl_->CanServe(); }
 bool flow_steering::HasSilentServers() const {
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -19,6 +19,7 @@
 #include "poplarstair/steering/server_choice.h"
 #include "poplarstair/steering/server_report.h"
 #include "poplarstair/steering/server_set.h"
+#include "poplarstair/steering/service_admission.h"
 #include "poplarstair/steering/service_promises.h"
 #include "poplarstair/steering/steer_decision.h"
 
@@ -38,6 +39,19 @@
   /// An entry that has lapsed while the store was away is back by then.
   duration gone_to_reset = std::chrono::milliseconds(2500);
   service_promises promises;
+  admission_settings admission;
+};
+
+/// What an instance believes of a backend server.
+struct server_belief {
+  backend_server_id id;
+  std::string service;
+  std::string failure_domain;
+  /// Work time of a request, and how many samples of it count.
+  work_time_samples work;
+  double load = 0;
+  bool is_silent = false;
+  bool takes_flows = false;
 };
 
 /// Deterministic: it reads no clock and does no I/O.
@@ -48,9 +62,14 @@
     /// Test whether a silent server takes connections; answered by
     /// OnServerChecked.
     std::function<void(backend_server_id, endpoint)> check_server;
-    /// Send a packet that opened a flow once more, as decided.
+    /// Send a packet that opened a flow, as decided: once more, or after it was
+    /// held.
     std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
         send_again;
+    /// Reset a flow whose opening packet was held.
+    std::function<void(const segment& packet)> reset;
+    /// The other instances as they are known now.
+    std::function<fleet_facts(time_point now)> fleet;
     /// Upper bound on the instances that open flows to the cold server now,
     /// including this one; 0 if this one must not.
     std::function<uint32_t(const known_server&)> cold_owners;
@@ -85,6 +104,9 @@
   void SetHasNeighbours(bool has_neighbours);
   void OnPeerReports(time_point now, uint64_t peer,
                      const std::vector<server_report>& reports);
+  /// How busy the services are in another failure domain.
+  void OnFarLoads(time_point now, const std::string& domain,
+                  const std::vector<service_load>& loads);
   void OnServerChecked(time_point now, backend_server_id server,
                        bool is_reachable);
   /// To be called at least every kTickInterval.
@@ -92,10 +114,18 @@
 
   static constexpr duration kTickInterval = std::chrono::milliseconds(100);
 
-  /// When a handshake will be overdue; kNever if none is under way.
+  /// When a handshake will be overdue, or a held packet has to be decided on;
+  /// kNever if there is none.
   time_point NextHandshakeCheck() const;
-  /// For other instances: servers with work in progress, or silent.
-  std::vector<server_report> Reports(time_point now) const;
+  /// For other instances of the domain: servers with work in progress, or
+  /// silent, and a few others with samples of their work time, in turn.
+  std::vector<server_report> Reports(time_point now);
+  /// For other instances: how busy the services are in the own domain.
+  std::vector<service_load> ServiceLoads() const;
+  /// What is believed of the servers, for operators; the slowest first.
+  std::vector<server_belief> ServerBeliefs(time_point now, size_t most) const;
+  /// Room of the services that have a limit, for operators.
+  std::vector<service_admission::named_summary> Admission(time_point now);
   size_t OpenFlows() const;
   /// False if some service has servers that take new flows, and every one of
   /// them is silent from here.
--- a/poplarstair/steering/flow_tracker.cc
+++ b/poplarstair/steering/flow_tracker.cc
@@ -36,7 +36,7 @@
 void flow_tracker::Close(time_point now, uint64_t hash) {
   const auto it = flows_.find(hash);
   if (it == flows_.end()) return;
-  Release(now, it->second);
+  Release(now, hash, it->second);
   flows_.erase(it);
 }
 
@@ -44,27 +44,29 @@
                             uint64_t hash, flow_record& record,
                             server_row named,
                             std::optional<request_kind> kind) {
-  if (!record.is_open) Open(now, packet, record, named, kind);
+  if (!record.is_open) Open(now, packet, hash, record, named, kind);
   record.last_seen = now;
   if (IsAfter(packet.acknowledged, record.acknowledged)) {
     record.acknowledged = packet.acknowledged;
     OnProgress(now, record.row);
-    if (record.has_request) EndRequest(now, record);
+    if (record.has_request) EndRequest(now, hash, record);
   }
   if (packet.payload_bytes > 0) TrackData(now, packet, record, hash);
   if (packet.finishes) {
     record.is_finished = true;
-    DropRequest(now, record);
+    DropRequest(now, hash, record);
   }
 }
 
-void flow_tracker::Open(time_point now, const segment& packet,
+void flow_tracker::Open(time_point now, const segment& packet, uint64_t hash,
                         flow_record& record, server_row named,
                         std::optional<request_kind> kind) {
   const bool is_new = record.row == kNoServer;
   // The cookie tells which server's handshake the caller has answered; later
   // cookies of this flow may stem from another server that answered a copy.
+  const bool is_moved = !is_new && named != kNoServer && named != record.row;
   if (named != kNoServer) record.row = named;
+  if (is_moved) actions_.started(now, hash, record.row);
   record.is_open = true;
   record.acknowledged = packet.acknowledged;
   record.next_sequence = packet.sequence;
@@ -91,7 +93,9 @@
     record.has_request = true;
     record.request_at = now;
     record.request_bytes = 0;
-    estimates_.OnRequestSent(now, record.row);
+    record.per_slot =
+        static_cast<float>(estimates_.OnRequestSent(now, record.row));
+    actions_.started(now, hash, record.row);
   }
   record.request_bytes += packet.payload_bytes;
   if (record.request_bytes > kUnacknowledgedBytes) {
@@ -99,21 +103,33 @@
   }
 }
 
-void flow_tracker::EndRequest(time_point now, flow_record& record) {
+void flow_tracker::EndRequest(time_point now, uint64_t hash,
+                              flow_record& record) {
   const duration took = now - record.request_at;
   record.has_request = false;
   request_time_.Observe(took);
-  estimates_.OnRequestDone(now, record.row, took);
+  // The time in which a server was silent says nothing of its work.
+  const bool was_silent =
+      record.request_at < estimates_.SilenceEndedAt(record.row);
+  const auto per_slot =
+      was_silent ? std::nullopt : std::optional<double>(record.per_slot);
+  estimates_.OnRequestDone(now, record.row, took, per_slot);
+  actions_.ended(now, hash, took);
 }
 
-void flow_tracker::DropRequest(time_point now, flow_record& record) {
+void flow_tracker::DropRequest(time_point now, uint64_t hash,
+                               flow_record& record) {
   if (!record.has_request) return;
   record.has_request = false;
   estimates_.OnRequestDropped(now, record.row, now - record.request_at);
+  actions_.ended(now, hash, std::nullopt);
 }
 
-void flow_tracker::Release(time_point now, flow_record& record) {
-  DropRequest(now, record);
+void flow_tracker::Release(time_point now, uint64_t hash, flow_record& record) {
+  if (!record.has_request) {
+    actions_.ended(now, hash, std::nullopt);
+  }
+  DropRequest(now, hash, record);
   if (record.is_open) estimates_.OnFlowClosed(record.row);
 }
 
@@ -136,7 +152,7 @@
     flow_record& record = it->second;
     // Its caller has given up: neither work in progress nor an answer.
     if (record.has_request && now - record.request_at > longest_request) {
-      DropRequest(now, record);
+      DropRequest(now, it->first, record);
     }
     const duration idle = now - record.last_seen;
     const duration limit =
@@ -145,7 +161,7 @@
       ++it;
       continue;
     }
-    Release(now, record);
+    Release(now, it->first, record);
     flows_.erase(it++);
   }
 }
--- a/poplarstair/steering/flow_tracker.h
+++ b/poplarstair/steering/flow_tracker.h
@@ -32,6 +32,8 @@
   uint32_t next_sequence = 0;
   uint32_t acknowledged = 0;
   uint32_t request_bytes = 0;
+  /// Requests per slot at the server when the request was sent, with it.
+  float per_slot = 1;
   /// When what the caller may have to repeat was sent first.
   time_point sent_at{};
   time_point request_at{};
@@ -48,6 +50,13 @@
     std::function<void(server_row)> answers;
     /// A server counts as silent from now on; by whose evidence.
     std::function<void(time_point, server_row, std::string_view source)> silent;
+    /// A flow's request was sent to its server, or the flow has turned out to
+    /// be at that one.
+    std::function<void(time_point, uint64_t flow, server_row)> started;
+    /// A flow's request has ended, or a flow without one; after which time if
+    /// by an answer.
+    std::function<void(time_point, uint64_t flow, std::optional<duration> took)>
+        ended;
   };
 
   flow_tracker(const estimate_settings& settings, metric_registry& metrics,
@@ -87,13 +96,14 @@
   time_point LastProgress() const { return last_progress_; }
 
  private:
-  void Open(time_point now, const segment& packet, flow_record& record,
-            server_row named, std::optional<request_kind> kind);
+  void Open(time_point now, const segment& packet, uint64_t hash,
+            flow_record& record, server_row named,
+            std::optional<request_kind> kind);
   void TrackData(time_point now, const segment& packet, flow_record& record,
                  uint64_t hash);
-  void EndRequest(time_point now, flow_record& record);
-  void DropRequest(time_point now, flow_record& record);
-  void Release(time_point now, flow_record& record);
+  void EndRequest(time_point now, uint64_t hash, flow_record& record);
+  void DropRequest(time_point now, uint64_t hash, flow_record& record);
+  void Release(time_point now, uint64_t hash, flow_record& record);
   void OnProgress(time_point now, server_row row);
 
   const hooks actions_;
--- a/poplarstair/steering/peer_digest.cc
+++ b/poplarstair/steering/peer_digest.cc
@@ -19,7 +19,11 @@
   uint32_t server = 0;
   uint32_t load = 0;
   uint32_t witnesses = 0;
-  MSGPACK_DEFINE(server, load, witnesses)
+  /// Work time and number of its samples; 0 from instances that do not send
+  /// them.
+  uint32_t work_us = 0;
+  uint32_t samples = 0;
+  MSGPACK_DEFINE(server, load, witnesses, work_us, samples)
 };
 
 struct named_fields {
@@ -30,6 +34,12 @@
   MSGPACK_DEFINE(address, life, age_ms, domain)
 };
 
+struct service_fields {
+  uint32_t service = 0;
+  uint32_t per_slot = 0;
+  MSGPACK_DEFINE(service, per_slot)
+};
+
 struct digest_fields {
   uint8_t version = kDigestVersion;
   std::string sender;
@@ -43,9 +53,11 @@
   int64_t age_ms = 0;
   std::vector<report_fields> reports;
   std::vector<named_fields> peers;
+  /// Empty from instances that do not send it.
+  std::vector<service_fields> services;
   MSGPACK_DEFINE(version, sender, life, failure_domain, is_stopping,
                  wants_reply, is_following, revisions, contents, age_ms,
-                 reports, peers)
+                 reports, peers, services)
 };
 
 int64_t AgeMs(duration age) {
@@ -67,14 +79,23 @@
   fields.age_ms = AgeMs(digest.age);
   for (const server_report& r : digest.reports) {
     const double scaled = std::clamp(r.load * kLoadScale, 0.0, 1e9);
+    const double work = std::clamp(r.work.mean, 0.0, 1e9);
+    const double samples = std::clamp(r.work.count, 0.0, 1e3);
     fields.reports.push_back(
-        {r.server, static_cast<uint32_t>(std::lround(scaled)), r.witnesses});
+        {r.server, static_cast<uint32_t>(std::lround(scaled)), r.witnesses,
+         static_cast<uint32_t>(std::lround(work)),
+         static_cast<uint32_t>(std::lround(samples))});
   }
   for (const named_peer& peer : digest.peers) {
     fields.peers.push_back({peer.address.Pack(), peer.life,
                             static_cast<uint32_t>(AgeMs(peer.age)),
                             peer.domain.Value()});
   }
+  for (const service_load& s : digest.services) {
+    const double scaled = std::clamp(s.per_slot * kLoadScale, 0.0, 1e9);
+    fields.services.push_back(
+        {s.service, static_cast<uint32_t>(std::lround(scaled))});
+  }
   return EncodeMessage(fields);
 }
 
@@ -97,7 +118,13 @@
   digest.contents = fields.contents;
   digest.age = std::chrono::milliseconds(fields.age_ms);
   for (const report_fields& r : fields.reports) {
-    digest.reports.push_back({r.server, r.load / kLoadScale, r.witnesses});
+    const work_time_samples work{static_cast<double>(r.work_us),
+                                 static_cast<double>(r.samples)};
+    digest.reports.push_back(
+        {r.server, r.load / kLoadScale, r.witnesses, work});
+  }
+  for (const service_fields& s : fields.services) {
+    digest.services.push_back({s.service, s.per_slot / kLoadScale});
   }
   for (const named_fields& peer : fields.peers) {
     digest.peers.push_back({endpoint::Unpack(peer.address), peer.life,
--- a/poplarstair/steering/peer_digest.h
+++ b/poplarstair/steering/peer_digest.h
@@ -10,6 +10,7 @@
 #include "poplarstair/catalog/catalog.h"
 #include "poplarstair/core/ids.h"
 #include "poplarstair/steering/server_report.h"
+#include "poplarstair/steering/service_admission.h"
 
 namespace poplarstair {
 
@@ -42,6 +43,8 @@
   /// How long ago the store confirmed the sender's catalog.
   duration age = std::chrono::hours(1);
   std::vector<server_report> reports;
+  /// How busy the services are in the sender's failure domain.
+  std::vector<service_load> services;
   /// Some instances that the sender has heard of lately.
   std::vector<named_peer> peers;
 };
--- a/poplarstair/steering/peer_loads.h
+++ b/poplarstair/steering/peer_loads.h
@@ -24,7 +24,7 @@
   /// `max_age`.
   server_report Sum(time_point now, duration max_age,
                     flow_cookie server) const {
-    server_report sum{server, 0, 0};
+    server_report sum{server, 0, 0, {}};
     for (const auto& [peer, said] : peers_) {
       if (now - said.at > max_age) continue;
       for (const server_report& report : said.reports) {
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 
 namespace poplarstair {
 
@@ -220,6 +222,32 @@
 
 bool peer_view::HasNeighbours() const { return FarMembers() < members_.size(); }
 
+uint32_t peer_view::InstancesOfDomain() const {
+  return static_cast<uint32_t>(members_.size() - FarMembers() + 1);
+}
+
+uint32_t peer_view::IndexInDomain() const {
+  return static_cast<uint32_t>(std::count_if(
+      members_.begin(), members_.end(), [this](const auto& entry) {
+        return entry.second.failure_domain == settings_.failure_domain &&
+               entry.first < settings_.self;
+      }));
+}
+
+uint32_t peer_view::Domains() const {
+  std::set<std::string_view> domains = {settings_.failure_domain};
+  for (const auto& [address, known] : members_) {
+    domains.insert(known.failure_domain);
+  }
+  return static_cast<uint32_t>(domains.size());
+}
+
+bool peer_view::IsFar(const endpoint& address) const {
+  const auto it = members_.find(address);
+  return it != members_.end() &&
+         it->second.failure_domain != settings_.failure_domain;
+}
+
 bool peer_view::IsJoining(time_point now) const {
   return now - started_at_ < settings_.learning_time;
 }
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -151,6 +151,18 @@
 
   /// True if another instance of the own domain is known.
   bool HasNeighbours() const;
+  /// Instances of the own domain, with this one.
+  uint32_t InstancesOfDomain() const;
+  /// Position of this instance among them, the same as seen by each of them.
+  uint32_t IndexInDomain() const;
+  /// Failure domains that have instances, as far as known; the own one counts.
+  uint32_t Domains() const;
+  /// False for `learning_time` after a start or a pause.
+  bool IsSettled(time_point now) const {
+    return now - settled_from_ >= settings_.learning_time;
+  }
+  /// True if `address` is a known instance of another domain.
+  bool IsFar(const endpoint& address) const;
   /// Whom to ask for a digest to learn whether other domains can be reached;
   /// empty while an answer is awaited or has just come.
   std::vector<endpoint> AskOtherDomains(time_point now);
--- a/poplarstair/steering/server_choice.cc
+++ b/poplarstair/steering/server_choice.cc
@@ -31,21 +31,50 @@
   std::vector<server_row> rows_;
 };
 
+bool IsEligible(time_point now, const choice_context& context, server_row row,
+                server_row avoided) {
+  const known_server& server = context.servers.At(row);
+  if (row == avoided || !server.TakesNewFlows()) return false;
+  if (!context.estimates.TakesFlow(now, row)) return false;
+  // The connection test at this address reached the server that now has it.
+  return !server.is_address_taken || !context.estimates.IsOnTrial(row);
+}
+
+server_choice ChooseCandidate(time_point now, const choice_context& context,
+                              server_row avoided, random_source& random) {
+  server_choice best;
+  const size_t count = context.candidates.size();
+  // Ties go to a random one.
+  const size_t first = count == 0 ? 0 : RandomBelow(random, count);
+  for (size_t i = 0; i < count; ++i) {
+    const server_row row = context.candidates[(first + i) % count];
+    if (!IsEligible(now, context, row, avoided)) continue;
+    if (context.servers.At(row).cold_until > now) continue;
+    ++best.eligible;
+    const double wait = context.estimates.ExpectedWaitBehind(
+        now, row, context.in_progress(row), context.servers.At(row).slots);
+    if (best.row != kNoServer && wait >= best.expected_wait) continue;
+    best.row = row;
+    best.expected_wait = wait;
+  }
+  return best;
+}
+
 }  // namespace
 
 server_choice ChooseServer(time_point now, const choice_context& context,
                            const choice_settings& settings,
                            const std::string& service, server_row avoided,
                            random_source& random) {
+  const server_choice candidate =
+      ChooseCandidate(now, context, avoided, random);
+  if (candidate.row != kNoServer) return candidate;
   candidate_group own;
   candidate_group others;
   candidate_group cold;
   for (const server_row row : context.servers.OfService(service)) {
     const known_server& server = context.servers.At(row);
-    if (row == avoided || !server.TakesNewFlows()) continue;
-    if (!context.estimates.TakesFlow(now, row)) continue;
-    // The connection test at this address reached the server that now has it.
-    if (server.is_address_taken && context.estimates.IsOnTrial(row)) continue;
+    if (!IsEligible(now, context, row, avoided)) continue;
     if (server.cold_until > now) {
       if (context.cold_owners(server) > 0) cold.Add(row);
       continue;
--- a/poplarstair/steering/server_choice.h
+++ b/poplarstair/steering/server_choice.h
@@ -3,6 +3,7 @@
 #define POPLARSTAIR_STEERING_SERVER_CHOICE_H_
 
 #include <functional>
+#include <span>
 #include <string>
 
 #include "poplarstair/admission/server_estimates.h"
@@ -26,6 +27,10 @@
   const std::string& domain;
   /// See flow_steering::hooks.
   const std::function<uint32_t(const known_server&)>& cold_owners;
+  /// If not empty, the only warm servers to choose from, and how many requests
+  /// of this instance each of them has in progress.
+  std::span<const server_row> candidates = {};
+  std::function<uint32_t(server_row)> in_progress = nullptr;
 };
 
 struct server_choice {
@@ -43,7 +48,8 @@
 /// flow would have to wait for a slot in the own one: it would break if the
 /// domains are partitioned. Never chooses `avoided`. Cold servers are
 /// considered only if no warm server is available. The row is kNoServer if
-/// there is none.
+/// there is none. If candidates are given, the one where the own requests end
+/// first is chosen.
 server_choice ChooseServer(time_point now, const choice_context& context,
                            const choice_settings& settings,
                            const std::string& service, server_row avoided,
--- a/poplarstair/steering/server_report.h
+++ b/poplarstair/steering/server_report.h
@@ -2,6 +2,7 @@
 #ifndef POPLARSTAIR_STEERING_SERVER_REPORT_H_
 #define POPLARSTAIR_STEERING_SERVER_REPORT_H_
 
+#include "poplarstair/admission/work_time.h"
 #include "poplarstair/steering/segment.h"
 
 namespace poplarstair {
@@ -15,6 +16,8 @@
   /// unanswered; in a sum over instances, the number of instances that have
   /// such flows.
   uint32_t witnesses = 0;
+  /// Work time of requests of the instance's own clients.
+  work_time_samples work = {};
 };
 
 }  // namespace poplarstair
--- a/poplarstair/steering/steer_decision.h
+++ b/poplarstair/steering/steer_decision.h
@@ -31,6 +31,10 @@
   kServerSilent,
   /// The catalog is incomplete, or was not confirmed since the last pause.
   kNotReady,
+  /// Waits until the service has room for it.
+  kHeld,
+  /// The service has no room for it before its client sends it again.
+  kNoRoom,
 };
 
 template <>
@@ -38,7 +42,8 @@
   static constexpr std::string_view kNames[] = {
       "placed",      "placed_again",  "placed_cold", "open_flow",
       "cookie",      "unknown_route", "no_server",   "unknown_cookie",
-      "server_gone", "server_silent", "not_ready"};
+      "server_gone", "server_silent", "not_ready",   "held",
+      "no_room"};
 };
 
 struct steer_decision {
--- a/poplarstair/steering/steering_log.cc
+++ b/poplarstair/steering/steering_log.cc
@@ -31,6 +31,8 @@
                       const std::string& service, const server_choice& choice,
                       steer_reason reason) {
   const known_server& server = facts.servers.At(choice.row);
+  const work_time_samples work =
+      facts.estimates.WorkTime(facts.now, choice.row);
   return log_record("flow_placed")
       .With("flow", FlowName(packet))
       .With("copy", packet.copy)
@@ -38,6 +40,8 @@
       .With("server", ServerName(server.id))
       .With("domain", server.failure_domain)
       .With("wait_us", static_cast<int64_t>(choice.expected_wait))
+      .With("work_us", static_cast<int64_t>(work.mean))
+      .With("samples", static_cast<int64_t>(work.count))
       .With("eligible", choice.eligible)
       .With("cold_owners", choice.cold_owners)
       .With("age_ms", ToMs(facts.age))
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -317,6 +317,7 @@
     };
     hooks.check_server = [](backend_server_id, const endpoint&) {};
     hooks.send_again = [](std::span<const uint8_t>, const steer_decision&) {};
+    hooks.reset = [](const segment&) {};
     return hooks;
   }
 
--- a/unit_tests/daemon/entry_daemon_settings_test.cc
+++ b/unit_tests/daemon/entry_daemon_settings_test.cc
@@ -119,3 +119,15 @@
   cr_assert_not(
       IsEntryDaemonSettings("[instance]\nname = \"a\"\n", "daemon.toml"));
 }
+
+Test(entry_daemon_settings, reads_the_limits_of_admission) {
+  const entry_daemon_settings settings = ParseEntryDaemonSettings(
+      std::string(kGood) +
+          "[admission]\nenabled = false\nrequests_per_slot = 2.5\n",
+      "entry.toml");
+  cr_assert_not(settings.admission.is_enabled);
+  cr_assert_eq(settings.admission.requests_per_slot, 2.5);
+  cr_assert(Has(
+      ProblemsOf(std::string(kGood) + "[admission]\nrequests_per_slot = 0\n"),
+      "admission.requests_per_slot"));
+}
--- a/unit_tests/diagnosis/failure_explainer_test.cc
+++ b/unit_tests/diagnosis/failure_explainer_test.cc
@@ -109,6 +109,11 @@
       Explain(Line("99.600", "c-1", "event=domain_cut_off path=cut") +
               Line("100.100", "c-1", refused + "reason=no_server"));
   cr_assert_eq(cut.cause, failure_cause::kDomainUnreachable);
+  const explanation no_room =
+      Explain(Line("99.600", "c-1", "event=service_short service=s room=6") +
+              Line("100.100", "c-1", refused + "reason=no_room"));
+  cr_assert_eq(no_room.cause, failure_cause::kNoRoom);
+  cr_assert_eq(no_room.evidence.size(), 2u);
 }
 
 Test(failure_explainer, reports_unknown_when_no_log_line_is_relevant) {
