--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -15,15 +15,6 @@
 
 /// Most servers that are tested in one tick.
 constexpr uint32_t kChecksPerTick = 4;
-/// Most servers that one report to other instances names.
-constexpr size_t kMaxReports = 64;
-/// Load below which a server is not worth reporting.
-constexpr double kReportedLoad = 0.05;
-/// Servers that one report names for their work time alone. In turn, so that
-/// digests stay small and a domain hears of each server every second or two.
-constexpr size_t kWorkTimeReports = 8;
-/// Fewer samples than this are not worth reporting.
-constexpr double kReportedSamples = 0.5;
 /// With so many servers silent, and no answer from any for as long as clients
 /// try to open a flow, it is this instance that is cut off.
 constexpr uint32_t kCutOffServers = 3;
@@ -184,37 +175,11 @@
   }
 
   std::vector<server_report> Reports(time_point now) {
-    std::vector<server_report> reports;
-    for (server_row row = 0; row < servers_.Size(); ++row) {
-      const known_server& server = servers_.At(row);
-      if (server.gone_at != kNever) continue;
-      const double load = estimates_.OwnLoad(now, row);
-      const uint32_t witnesses = estimates_.OwnWitnesses(now, row);
-      if (load < kReportedLoad && witnesses == 0) continue;
-      reports.push_back(
-          {server.cookie, load, witnesses, estimates_.OwnWorkTime(now, row)});
-      if (reports.size() == kMaxReports) break;
-    }
-    AddWorkTimeReports(now, reports);
-    return reports;
+    return reporter_.Reports(now, servers_, estimates_);
   }
 
   std::vector<server_belief> ServerBeliefs(time_point now, size_t most) const {
-    std::vector<server_belief> beliefs;
-    for (server_row row = 0; row < servers_.Size(); ++row) {
-      const known_server& server = servers_.At(row);
-      if (server.gone_at != kNever) continue;
-      beliefs.push_back({server.id, server.service, server.failure_domain,
-                         estimates_.WorkTime(now, row),
-                         estimates_.OwnLoad(now, row), estimates_.IsSilent(row),
-                         server.TakesNewFlows()});
-    }
-    std::stable_sort(beliefs.begin(), beliefs.end(),
-                     [](const server_belief& a, const server_belief& b) {
-                       return a.work.mean > b.work.mean;
-                     });
-    if (beliefs.size() > most) beliefs.resize(most);
-    return beliefs;
+    return SlowestServers(now, servers_, estimates_, most);
   }
 
   size_t OpenFlows() const { return flows_.Size(); }
@@ -287,7 +252,7 @@
       if (route == nullptr) {
         decision = Refuse(now, held->packet, steer_reason::kUnknownRoute);
       } else if (held->verdict == admission_verdict::kRefuse) {
-        decision = Refuse(now, held->packet, steer_reason::kNoRoom);
+        decision = RefuseForRoom(now, held->packet);
       } else if (IsHolding(now)) {
         continue;
       } else {
@@ -304,23 +269,6 @@
     }
   }
 
-  /// Adds work times of servers that are not reported for another reason.
-  void AddWorkTimeReports(time_point now, std::vector<server_report>& reports) {
-    const size_t limit =
-        std::min(reports.size() + kWorkTimeReports, kMaxReports);
-    for (size_t i = 0; i < servers_.Size() && reports.size() < limit; ++i) {
-      next_told_ = (next_told_ + 1) % servers_.Size();
-      const known_server& server = servers_.At(next_told_);
-      if (server.gone_at != kNever) continue;
-      const work_time_samples work = estimates_.OwnWorkTime(now, next_told_);
-      const bool is_reported =
-          estimates_.OwnLoad(now, next_told_) >= kReportedLoad ||
-          estimates_.OwnWitnesses(now, next_told_) > 0;
-      if (is_reported || work.count < kReportedSamples) continue;
-      reports.push_back({server.cookie, 0, 0, work});
-    }
-  }
-
   /// True if a server of the service answers, or there is none to be silent.
   bool HasServer(const std::string& service) const {
     bool has_silent = false;
@@ -378,8 +326,7 @@
         return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
       }
       if (verdict == admission_verdict::kRefuse) {
-        // Another instance may have forwarded an earlier copy.
-        return Refuse(now, packet, steer_reason::kNoRoom, packet.copy > 0);
+        return RefuseForRoom(now, packet);
       }
     }
     return Place(now, packet, hash, *route, *service, avoided);
@@ -631,6 +578,11 @@
             0};
   }
 
+  /// A copy is not refused: another instance may have forwarded an earlier one.
+  steer_decision RefuseForRoom(time_point now, const segment& packet) {
+    return Refuse(now, packet, steer_reason::kNoRoom, packet.copy > 0);
+  }
+
   steer_decision Forward(server_row row, steer_reason reason) const {
     const known_server& server = servers_.At(row);
     return {steer_verdict::kForward, reason, server.id, server.address,
@@ -690,6 +642,7 @@
   awaited_handshakes awaited_;
   cold_flow_limits cold_limits_;
   service_admission admission_;
+  server_reporter reporter_;
   duration idle_timeout_ = std::chrono::seconds(15);
   /// Longest timeout of any route; duration::max() if none is stated.
   duration longest_request_ = duration::max();
@@ -702,7 +655,6 @@
   time_point next_sweep_{};
   time_point next_room_update_{};
   server_row next_checked_ = 0;
-  server_row next_told_ = 0;
 };
 
 flow_steering::flow_steering(const steering_settings& settings,
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -18,6 +18,7 @@
 #include "poplarstair/steering/segment.h"
 #include "poplarstair/steering/server_choice.h"
 #include "poplarstair/steering/server_report.h"
+#include "poplarstair/steering/server_reporter.h"
 #include "poplarstair/steering/server_set.h"
 #include "poplarstair/steering/service_admission.h"
 #include "poplarstair/steering/service_promises.h"
@@ -42,18 +43,6 @@
   admission_settings admission;
 };
 
-/// What an instance believes of a backend server.
-struct server_belief {
-  backend_server_id id;
-  std::string service;
-  std::string failure_domain;
-  /// Work time of a request, and how many samples of it count.
-  work_time_samples work;
-  double load = 0;
-  bool is_silent = false;
-  bool takes_flows = false;
-};
-
 /// Deterministic: it reads no clock and does no I/O.
 class flow_steering {
  public:
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -911,6 +911,9 @@
     dropped += decision.reason == steer_reason::kNoRoom;
   }
   cr_assert_gt(dropped, 0u);
+  // Nor once it has been held for too long.
+  site.Pass(milliseconds(600));
+  cr_assert(site.reset.empty());
 }
 
 // Without priorities in the routes nothing is to change.
