No flow is refused for lack of room where no server answers

Servers that answer nobody are out of reach and not short of room. An instance whose own timers are late does not limit either: its requests seem to take long.

--- a/poplarstair/admission/flow_admission.cc
+++ b/poplarstair/admission/flow_admission.cc
@@ -11,6 +11,9 @@
 /// repeat them.
 constexpr size_t kMostWaiting = 256;
 
+/// Just after a moment.
+constexpr duration kTimerStep = std::chrono::milliseconds(1);
+
 }  // namespace
 
 flow_admission::service_state& flow_admission::State(service_number service) {
@@ -54,10 +57,12 @@
   service_of_.erase(flow);
 }
 
-bool flow_admission::IsBelowLimit(const service_state& s) {
-  // Before the first answer it is not known which requests still count.
-  return s.answered.Count() == 0 ||
-         static_cast<double>(s.in_progress.size()) < s.room;
+bool flow_admission::IsBelowLimit(time_point now, const service_state& s) {
+  // Servers that answer nobody are not short of room but lost or out of reach:
+  // then, as before the first answer, their requests tell nothing of room.
+  const bool is_answering =
+      s.answered.Count() > 0 && now - s.last_answer <= CountedTime(s);
+  return !is_answering || static_cast<double>(s.in_progress.size()) < s.room;
 }
 
 size_t flow_admission::Ahead(const service_state& s,
@@ -97,7 +102,7 @@
   service_state& s = State(service);
   DropOverdue(now, s);
   const size_t ahead = Ahead(s, opening);
-  if (ahead == 0 && IsBelowLimit(s)) return admission_verdict::kForward;
+  if (ahead == 0 && IsBelowLimit(now, s)) return admission_verdict::kForward;
   NoteShort(now, s);
   const duration left = Patience(now, s, opening);
   if (s.waiting.size() >= kMostWaiting || left <= duration::zero() ||
@@ -116,7 +121,7 @@
 bool flow_admission::HasRoom(time_point now, service_number service) {
   service_state& s = State(service);
   DropOverdue(now, s);
-  return s.waiting.empty() && IsBelowLimit(s);
+  return s.waiting.empty() && IsBelowLimit(now, s);
 }
 
 bool flow_admission::HasFreeSlot(time_point now, service_number service) {
@@ -160,7 +165,10 @@
   const auto it = service_of_.find(flow);
   if (it == service_of_.end()) return;
   service_state& s = State(it->second);
-  if (took) s.answered.Add(*took);
+  if (took) {
+    s.answered.Add(*took);
+    s.last_answer = now;
+  }
   Remove(s, flow);
   DropOverdue(now, s);
 }
@@ -173,7 +181,7 @@
     admission_decision decision;
     decision.service = service;
     auto taken = s.waiting.end();
-    if (IsBelowLimit(s)) {
+    if (IsBelowLimit(now, s)) {
       taken = s.waiting.begin();
       s.supply.OnStarted(now, taken->priority);
     } else if (now >= s.next_due) {
@@ -207,6 +215,7 @@
     // Room also comes from requests that turn overdue.
     if (!s.by_time.empty() && s.answered.Count() > 0) {
       due = std::min(due, s.by_time.front().first + CountedTime(s));
+      due = std::min(due, s.last_answer + CountedTime(s) + kTimerStep);
     }
   }
   return due;
--- a/poplarstair/admission/flow_admission.h
+++ b/poplarstair/admission/flow_admission.h
@@ -138,6 +138,7 @@
     /// The same in order; entries of ended requests are skipped.
     std::deque<std::pair<time_point, uint64_t>> by_time;
     recent_durations answered;
+    time_point last_answer{};
     std::set<flow_opening, order> waiting;
     /// No waiting opening has to be decided on before.
     time_point next_due = kNever;
@@ -157,7 +158,7 @@
   /// answer must not take the room of the others.
   void DropOverdue(time_point now, service_state& s);
   void Remove(service_state& s, uint64_t flow);
-  static bool IsBelowLimit(const service_state& s);
+  static bool IsBelowLimit(time_point now, const service_state& s);
   static size_t Ahead(const service_state& s, const flow_opening& opening);
   static void NoteShort(time_point now, service_state& s);
   /// How long a new flow may wait.
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -338,6 +338,8 @@
                           std::span<const uint8_t> bytes,
                           const service_route& route,
                           const std::string*& service) {
+    // Requests seem to take long at an instance that is late itself.
+    if (flows_.IsLate(now)) return admission_verdict::kForward;
     const duration handshake = flows_.Handshakes().Timeout();
     if (route.services.size() > 1 && !admission_.HasRoom(now, *service)) {
       const std::string* other =
--- a/poplarstair/steering/service_admission.cc
+++ b/poplarstair/steering/service_admission.cc
@@ -150,7 +150,8 @@
   info.own_room = Room(own_slots / instances);
   // A domain that has lost servers uses its even share of all.
   const double missing = std::max(even_slots - own_slots, 0.0) / instances;
-  if (missing > 0) info.far_room = settings_.requests_per_slot * missing;
+  info.far_room =
+      own_slots > 0 ? settings_.requests_per_slot * missing : Room(missing);
   // Its part of what the other domains leave free, if all others want it too.
   for (const auto& [name, slots] : far_slots) {
     const auto reported = info.far_loads.find(std::string(name));
--- a/unit_tests/admission/flow_admission_test.cc
+++ b/unit_tests/admission/flow_admission_test.cc
@@ -191,6 +191,23 @@
   cr_assert_eq(service.Offer(200, 2), admission_verdict::kHold);
 }
 
+// A domain whose servers were withdrawn was cut off from the others': flows
+// were refused for lack of room, and their clients used up their attempts,
+// where they had got another domain's instance by their copies before.
+Test(flow_admission, there_is_no_limit_while_no_server_answers) {
+  full_service service;
+  service.now += flow_admission::kLeastCountedTime + kUsual;
+  service.Start(901);
+  service.Start(902);
+  service.Start(903);
+  cr_assert_eq(service.Offer(1, 2), admission_verdict::kHold);
+  service.now += milliseconds(1);
+  cr_assert_eq(service.Offer(2, 1), admission_verdict::kForward);
+  const auto next = service.admission.TakeNext(service.now);
+  cr_assert(next);
+  cr_assert_eq(next->verdict, admission_verdict::kForward);
+}
+
 // A flow that was sent again to a server of another service counted at both.
 Test(flow_admission, a_flow_counts_at_one_service_and_one_server) {
   full_service service;
