--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Part of the usual work time below which an answer is taken for a refusal.
+constexpr double kLeastWork = 0.25;
+
 /// Weight of `age` in an exponential average over `window`.
 double Decay(duration age, duration window) {
   return std::exp(-ToSeconds(age) / ToSeconds(window));
@@ -95,7 +98,11 @@
 }
 
 void server_estimates::AddWorkTime(time_point now, estimate& e, double sample) {
-  e.work.AddOwn(now, settings_.forget_after, sample);
+  // What is answered much sooner than usual was refused by a full or broken
+  // server, which would draw more requests the more it refuses.
+  if (sample >= kLeastWork * UsualWork(e)) {
+    e.work.AddOwn(now, settings_.forget_after, sample);
+  }
   if (usual_work_.size() <= e.service) usual_work_.resize(e.service + 1);
   double& usual = usual_work_[e.service];
   const double weight = settings_.time_weight / 8;
--- a/poplarstair/steering/service_admission.cc
+++ b/poplarstair/steering/service_admission.cc
@@ -201,8 +201,11 @@
   const auto in_progress =
       static_cast<double>(admission_.InProgress(now, number));
   const auto far = static_cast<double>(admission_.FarInProgress(number));
+  const bool has_own = info.own_room > 0;
   const bool is_own_full = in_progress - far >= info.own_room;
-  if (!is_own_full && !admission_.IsShort(now, number)) return {};
+  const bool is_short =
+      (has_own && is_own_full) || admission_.IsShort(now, number);
+  if (!is_short) return {};
   if (!info.has_subsets) {
     const double share =
         settings_.requests_per_slot / fleet_.instances_of_domain;
@@ -212,8 +215,8 @@
         SubsetOf(std::move(info.far_servers), servers, fleet_, share);
     info.has_subsets = true;
   }
-  return is_own_full && far < info.far_room ? info.far_servers
-                                            : info.own_servers;
+  const bool uses_far = !has_own || (is_own_full && far < info.far_room);
+  return uses_far ? info.far_servers : info.own_servers;
 }
 
 admission_verdict service_admission::Offer(time_point now,
--- a/unit_tests/admission/work_time_test.cc
+++ b/unit_tests/admission/work_time_test.cc
@@ -58,13 +58,26 @@
   cr_assert_geq(server.Combined(kStart, kLifetime, kUsual).mean, kUsual / 2);
 }
 
-// What others have told must not be told on: it would never be forgotten.
-Test(work_time, tells_only_its_own_samples) {
+// Refusals counted as short work, and drew nearly all flows to one server.
+Test(work_time, refusals_at_once_are_no_samples) {
+  server_estimates estimates{estimate_settings()};
+  estimates.Resize(2);
+  for (int i = 0; i < 50; ++i) {
+    estimates.OnRequestDone(kStart, 0, milliseconds(20));
+    estimates.OnRequestDone(kStart, 1, milliseconds(i % 3 == 0 ? 20 : 1));
+  }
+  const double full = estimates.WorkTime(kStart, 1).mean;
+  cr_assert_gt(full, 0.8 * estimates.WorkTime(kStart, 0).mean, "%.0f", full);
+}
+
+// What others have reported must not be reported on: it would never be
+// forgotten.
+Test(work_time, reports_only_its_own_samples) {
   work_time server;
   server.AddPeer(kStart, kLifetime, {4 * kUsual, 9});
   cr_assert_eq(server.Own(kStart, kLifetime).count, 0);
   cr_assert_gt(server.Combined(kStart, kLifetime, kUsual).mean, 2 * kUsual);
-  // Nonsense from another instance changes nothing.
+  // Values that are out of range change nothing.
   const work_time before = server;
   server.AddPeer(kStart, kLifetime, {-5, 9});
   server.AddPeer(kStart, kLifetime, {kUsual, 0});
