--- a/unit_tests/platform/soak_site_test.cc
+++ b/unit_tests/platform/soak_site_test.cc
@@ -22,3 +22,16 @@
   const site_addresses second(1);
   cr_assert_lt(first.Server(kServers), second.Store());
 }
+
+// Guards against a check that fails by chance, and against one that never does.
+Test(soak_site, a_priority_counts_as_favoured_unless_it_is_clearly_behind) {
+  cr_assert(IsFavoured({1000, 950}, {1000, 400}));
+  // A difference of 1% among a thousand requests each is chance.
+  cr_assert(IsFavoured({1000, 490}, {1000, 500}));
+  cr_assert_not(IsFavoured({1000, 400}, {1000, 500}));
+  cr_assert_not(IsFavoured({400, 160}, {2000, 1200}));
+  cr_assert_not(IsFavoured({1000, 980}, {1000, 1000}));
+  cr_assert(IsFavoured({1000, 1000}, {1000, 1000}));
+  // Too few to tell.
+  cr_assert(IsFavoured({199, 0}, {1000, 1000}));
+}
