Review: a server that starts again under its id gets full load while cold

Cause: a server that was silent and answers again is used as before after one flow, though the store is down and can't confirm its entry.

--- a/review/standins-2/client.h
+++ b/review/standins-2/client.h
@@ -34,6 +34,8 @@
   struct hooks {
     /// The address of the instance that gets a packet of the flow.
     std::function<address(const flow_key&)> route;
+    /// The first packet of a new flow.
+    std::function<void(const flow_key&)> opening;
     std::function<void(const flow_key&, const std::string& request)> sent;
     std::function<void(const flow_key&, const std::string& request,
                        const std::string& outcome)>
@@ -58,6 +60,14 @@
                double most_pause_ms, int requests_per_flow) {
     Open({route, true, least_pause_ms, most_pause_ms, requests_per_flow});
   }
+  /// A user who opens a flow for each request, from the same port as long as
+  /// each is served; a further try has a new port.
+  void AddUserOfOnePort(const client_route& route, double least_pause_ms,
+                        double most_pause_ms) {
+    habit user{route, true, least_pause_ms, most_pause_ms, 1};
+    user.keeps_port = true;
+    Open(user);
+  }
   /// One request on a flow of its own.
   void Ask(const client_route& route) { Open({route, false, 0, 0, 1}); }
 
@@ -72,6 +82,9 @@
     double least_pause_ms = 0;
     double most_pause_ms = 0;
     int requests_per_flow = 1;
+    bool keeps_port = false;
+    /// The port of the last flow, if that is to be used again; else 0.
+    uint16_t port = 0;
   };
   struct flow {
     habit user;
@@ -92,7 +105,7 @@
 
   void Open(const habit& user) {
     if (is_stopped_) return;
-    const uint16_t port = ++last_port_;
+    const uint16_t port = user.port != 0 ? user.port : ++last_port_;
     if (last_port_ > 60000) last_port_ = 1024;
     flow& f = flows_[port];
     f = {};
@@ -102,6 +115,7 @@
     f.request = NewRequest();
     f.deadline = loop_.Now() + user.route.deadline_ms;
     ++counts_.asked;
+    actions_.opening(f.key);
     actions_.sent(f.key, f.request);
     SendSyn(port);
   }
@@ -244,7 +258,8 @@
                                                  f.user.most_pause_ms);
     if (++f.requests >= f.user.requests_per_flow) {
       Send(f, NewPacket(f, kAck | kFin));
-      const habit user = f.user;
+      habit user = f.user;
+      user.port = user.keeps_port ? port : 0;
       flows_.erase(port);
       if (user.keeps_flow) {
         loop_.After(pause(random_), [this, user] { Open(user); });
@@ -271,7 +286,8 @@
       ++counts_.failed;
       actions_.ended(f.key, f.request, outcome);
     }
-    const habit user = f.user;
+    habit user = f.user;
+    user.port = 0;
     flows_.erase(port);
     if (user.keeps_flow) {
       loop_.After(200, [this, user] { Open(user); });
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -71,6 +71,7 @@
                  options.has_trouble ? 1 : 0);
     feed_ = {block_.Service(8443), "GET", 1200};
     registration_ = {block_.Service(8080), "POST", 1500};
+    upload_ = {block_.Service(8444), "POST", 3000};
     WriteManifest();
     const char* const zones[] = {"ost-a", "ost-b", "ost-c"};
     const int listings[] = {5, 5, 4};
@@ -93,6 +94,7 @@
   instances& Instances() { return instances_; }
   const client_route& Feed() const { return feed_; }
   const client_route& Registration() const { return registration_; }
+  const client_route& Upload() const { return upload_; }
   std::vector<std::unique_ptr<target>>& Targets() { return targets_; }
   std::vector<std::unique_ptr<client>>& Clients() { return clients_; }
   bool HasTrouble() const { return options_.has_trouble; }
@@ -107,14 +109,17 @@
   }
 
   /// The load of the sheet: 291 users of long flows, about one request a second
-  /// each and nine a flow, and 83.3 registrations a second.
+  /// each and nine a flow, 83.3 registrations and 25 uploads a second.
   void AddUsualLoad() {
     for (size_t i = 0; i < 291; ++i) {
       At(static_cast<double>(i) * 10, [this, i] {
         clients_[i % clients_.size()]->AddUser(feed_, 500, 1500, 9);
       });
     }
-    At(0, [this] { KeepAsking(registration_, 83.3); });
+    At(0, [this] {
+      KeepAsking(registration_, 83.3);
+      KeepAsking(upload_, 25);
+    });
   }
 
   /// New flows with one request each, `per_s` a second over all clients.
@@ -148,9 +153,9 @@
     return all.served * 2 > all.asked;
   }
 
-  /// Opening packets that each target has taken, by its name.
-  const std::map<std::string, std::vector<opening>>& Openings() const {
-    return openings_;
+  /// Opening packets that the target has taken.
+  const std::vector<opening>& OpeningsAt(const target& t) {
+    return openings_[t.Name()];
   }
 
   /// FAILBACK: the most openings of one second that a cold target took; sent
@@ -194,13 +199,14 @@
   /// True if the manifest holds the route; see WriteManifest.
   void WriteManifest() {
     const auto route = [](const std::string& name, const address& a,
-                          const std::string& type, int timeout, int priority) {
+                          const std::string& type, int timeout, int priority,
+                          const std::string& service) {
       return "{\"name\":\"" + name + "\",\"hostname\":\"" + IpText(a.ip) +
              "\",\"path_prefix\":\"/" + std::to_string(a.port) +
              "/\",\"type\":\"" + type +
              "\",\"timeout_ms\":" + std::to_string(timeout) +
              ",\"aim_ms\":200,\"priority\":" + std::to_string(priority) +
-             ",\"service\":\"listings\",\"max_attempts\":2}";
+             ",\"service\":\"" + service + "\",\"max_attempts\":2}";
     };
     const auto service = [](const std::string& name) {
       return "{\"name\":\"" + name +
@@ -210,9 +216,12 @@
     };
     store_.Put("config", "main",
                "{\"version\":7,\"routes\":[" +
-                   route("r-feed", feed_.service, "safe", 1200, 2) + "," +
+                   route("r-feed", feed_.service, "safe", 1200, 2, "listings") + "," +
                    route("r-registration", registration_.service, "unsafe",
-                         1500, 1) +
+                         1500, 1, "listings") +
+                   "," +
+                   route("r-upload", upload_.service, "upload", 3000, 2,
+                         "media-intake") +
                    "],\"services\":[" + service("listings") + "," +
                    service("media-intake") +
                    "],\"limits\":{\"max_header_bytes\":16384,"
@@ -240,9 +249,11 @@
           {key, first_sent_[key], loop_.Now(), t.IsCold(), false});
     };
     hooks.opened = [this](const target& t, const flow_key& key) {
-      for (opening& o : openings_[t.Name()]) {
-        if (o.flow == key) o.is_open = true;
-      }
+      auto& all = openings_[t.Name()];
+      const auto last =
+          std::find_if(all.rbegin(), all.rend(),
+                       [&key](const opening& o) { return o.flow == key; });
+      if (last != all.rend()) last->is_open = true;
       record_.Line("flow %s opens at %s%s", FlowText(key).c_str(),
                    t.Name().c_str(), t.IsCold() ? " (cold)" : "");
       if (on_opened) on_opened(t, key);
@@ -272,8 +283,10 @@
     hooks.route = [this, zone](const flow_key& key) {
       return instances_.Route(zone, key);
     };
+    hooks.opening = [this](const flow_key& key) {
+      first_sent_[key] = loop_.Now();
+    };
     hooks.sent = [this](const flow_key& key, const std::string& request) {
-      first_sent_.try_emplace(key, loop_.Now());
       record_.Line("client asks %s on %s", request.c_str(),
                    FlowText(key).c_str());
     };
@@ -306,6 +319,7 @@
   instances instances_;
   client_route feed_;
   client_route registration_;
+  client_route upload_;
   std::vector<std::unique_ptr<target>> targets_;
   std::vector<std::unique_ptr<client>> clients_;
   /// When the client sent the packet that opened the flow.
