--- a/review/10/case.cc
+++ b/review/10/case.cpp
@@ -1,6 +1,6 @@
 // Another writer's incomplete entry with the digits of a live target, which
 // then drains: see claim.txt.
-#include "../standins-2/site.h"
+#include "../standins-2/site.hpp"
 
 namespace review {
 namespace {
@@ -39,14 +39,14 @@
   const bool has_worked = s.Finish();
   int late = 0;
   for (const auto& o : s.OpeningsAt(draining)) {
-    const bool is_late =
-        o.is_open && o.arrived_at > confirmed_at + kDrainMs;
+    const bool is_late = o.is_open && o.arrived_at > confirmed_at + kDrainMs;
     if (!is_late) continue;
     ++late;
-    s.Record().Line("BROKEN DRAIN: %s, sent %.3f s, reaches the target %.3f s "
-                    "after the confirmation",
-                    FlowText(o.flow).c_str(), o.sent_at / 1e3,
-                    (o.arrived_at - confirmed_at) / 1e3);
+    s.Record().Line(
+        "BROKEN DRAIN: %s, sent %.3f s, reaches the target %.3f s "
+        "after the confirmation",
+        FlowText(o.flow).c_str(), o.sent_at / 1e3,
+        (o.arrived_at - confirmed_at) / 1e3);
   }
   std::printf("new flows at the draining target after the bound: %d\n", late);
   if (late > 0) return 1;
--- a/review/6/case.cc
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
 // A lost answer to a handshake, then a rolling restart: does an open flow keep
 // its target? See claim.txt.
-#include "../standins-2/site.h"
+#include "../standins-2/site.hpp"
 
 namespace review {
 namespace {
@@ -41,7 +41,8 @@
       site_.At(static_cast<double>(i) * 50, [this, i] { AddUser(i % 12); });
     }
     for (size_t i = 0; i < 12; ++i) {
-      site_.At(kLossAt + static_cast<double>(i) * 40, [this, i] { AddUser(kClientsOfZone[i % 4]); });
+      site_.At(kLossAt + static_cast<double>(i) * 40,
+               [this, i] { AddUser(kClientsOfZone[i % 4]); });
     }
     site_.At(0, [this] { site_.KeepAsking(site_.Registration(), 20); });
     site_.At(kRestartsAt, [this] { RestartNext(0); });
--- a/review/9/case.cc
+++ b/review/9/case.cpp
@@ -1,6 +1,6 @@
 // A client opens its next flow from the port of the last one, whose target
 // drains meanwhile: see claim.txt.
-#include "../standins-2/site.h"
+#include "../standins-2/site.hpp"
 
 namespace review {
 namespace {
@@ -11,8 +11,8 @@
 
 int Run(const case_options& options) {
   site s(options);
-  for (size_t i = 0; i < 48; ++i) {
-    s.At(static_cast<double>(i) * 40, [&s, i] {
+  for (size_t i = 0; i < 120; ++i) {
+    s.At(static_cast<double>(i) * 20, [&s, i] {
       s.Clients()[i % s.Clients().size()]->AddUserOfOnePort(s.Registration(),
                                                             500, 1500);
     });
@@ -32,14 +32,15 @@
   const bool has_worked = s.Finish();
   int late = 0;
   for (const auto& o : s.OpeningsAt(draining)) {
-    const bool is_late = confirmed_at > 0 && o.is_open &&
-                         o.arrived_at > confirmed_at + kDrainMs;
+    const bool is_late =
+        confirmed_at > 0 && o.is_open && o.arrived_at > confirmed_at + kDrainMs;
     if (!is_late) continue;
     ++late;
-    s.Record().Line("BROKEN DRAIN: %s, sent %.3f s, reaches the target %.3f s "
-                    "after the confirmation",
-                    FlowText(o.flow).c_str(), o.sent_at / 1e3,
-                    (o.arrived_at - confirmed_at) / 1e3);
+    s.Record().Line(
+        "BROKEN DRAIN: %s, sent %.3f s, reaches the target %.3f s "
+        "after the confirmation",
+        FlowText(o.flow).c_str(), o.sent_at / 1e3,
+        (o.arrived_at - confirmed_at) / 1e3);
   }
   std::printf("new flows at the draining target after the bound: %d\n", late);
   if (late > 0) return 1;
--- a/review/standins-2/client.h
+++ b/review/standins-2/client.hpp
@@ -1,6 +1,6 @@
 // Clients and the platform's routers (PROTOCOL.md, "Ingress" and "Flows").
-#ifndef REVIEW_STANDINS_2_CLIENT_H_
-#define REVIEW_STANDINS_2_CLIENT_H_
+#ifndef REVIEW_STANDINS_2_CLIENT_HPP_
+#define REVIEW_STANDINS_2_CLIENT_HPP_
 
 #include <functional>
 #include <map>
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "packet.h"
-#include "target.h"
+#include "packet.hpp"
+#include "target.hpp"
 
 namespace review {
 
@@ -47,7 +47,10 @@
   };
 
   client(event_loop& loop, const address& local, uint64_t seed, hooks actions)
-      : loop_(loop), local_(local), random_(seed), actions_(std::move(actions)) {
+      : loop_(loop),
+        local_(local),
+        random_(seed),
+        actions_(std::move(actions)) {
     socket_ = BindSocket(local, SOCK_DGRAM);
     if (socket_ < 0) CannotRun("bind client " + Text(local));
     loop_.OnReadable(socket_, [this] { Read(); });
@@ -144,9 +147,10 @@
   void SendRequest(uint16_t port) {
     flow& f = flows_.at(port);
     f.sent = NewPacket(f, kAck);
-    f.sent.data = f.user.route.method +
-                  " / HTTP/1.1\r\nHost: x\r\nX-Poplarstair-Request-Id: " +
-                  f.request + "\r\n\r\n";
+    f.sent.data =
+        f.user.route.method +
+        " / HTTP/1.1\r\nHost: x\r\nX-Poplarstair-Request-Id: " + f.request +
+        "\r\n\r\n";
     f.seq += static_cast<uint32_t>(f.sent.data.size());
     f.sent_again = 0;
     Send(f, f.sent);
@@ -250,9 +254,9 @@
     const bool is_served = p.data.find(" 200 ") != std::string::npos;
     ++(is_served ? counts_.served : counts_.failed);
     const bool is_own = p.data.find(f.request) != std::string::npos;
-    actions_.ended(f.key, f.request,
-                   is_served ? (is_own ? "served" : "foreign answer")
-                             : "not executed");
+    actions_.ended(
+        f.key, f.request,
+        is_served ? (is_own ? "served" : "foreign answer") : "not executed");
     f.request.clear();
     std::uniform_real_distribution<double> pause(f.user.least_pause_ms,
                                                  f.user.most_pause_ms);
@@ -307,4 +311,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_CLIENT_H_
+#endif  // REVIEW_STANDINS_2_CLIENT_HPP_
--- a/review/standins-2/instances.h
+++ b/review/standins-2/instances.hpp
@@ -1,9 +1,10 @@
 // The project's daemons, started as deploy/system.toml says with the settings
 // of its template, and the routers that probe them (DEPLOY.md, PROTOCOL.md).
-#ifndef REVIEW_STANDINS_2_INSTANCES_H_
-#define REVIEW_STANDINS_2_INSTANCES_H_
+#ifndef REVIEW_STANDINS_2_INSTANCES_HPP_
+#define REVIEW_STANDINS_2_INSTANCES_HPP_
 
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <fstream>
@@ -12,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "packet.h"
+#include "packet.hpp"
 
 namespace review {
 
@@ -99,8 +100,8 @@
     member& m = members_[i];
     const std::string settings = folder_ + "/" + m.name + ".toml";
     std::ofstream(settings) << Rendered(template_, m, is_first_start);
-    const std::string fields = "POPLARSTAIR_PLATFORM_FIELDS=" +
-                               Fields(m, is_first_start);
+    const std::string fields =
+        "POPLARSTAIR_PLATFORM_FIELDS=" + Fields(m, is_first_start);
     std::vector<std::string> words;
     std::istringstream command(run_);
     for (std::string word; command >> word;) words.push_back(word);
@@ -109,6 +110,8 @@
     const pid_t process = fork();
     if (process < 0) CannotRun("fork");
     if (process == 0) {
+      // It must not outlive this program, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const std::string log = folder_ + "/" + m.name + ".out";
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, STDOUT_FILENO);
@@ -252,8 +255,8 @@
   /// The platform's own fields, as far as the bounds of DEPLOY.md go.
   std::string Fields(const member& m, bool is_first_start) const {
     return "{\"node\":\"" + m.name + "\",\"zone\":\"" + m.zone +
-           "\",\"ip\":\"" + IpText(m.ip) + "\",\"bootstrap\":" +
-           (is_first_start ? "true" : "false") +
+           "\",\"ip\":\"" + IpText(m.ip) +
+           "\",\"bootstrap\":" + (is_first_start ? "true" : "false") +
            ",\"heartbeat_ms\":1200,\"bounds\":{\"seed_lag_s\":3,"
            "\"addr_reuse_s\":2,\"stable_window_ms\":4000,\"ack_ms\":5000,"
            "\"catch_up_s\":4,\"drain_ms\":3000,\"grace_s\":6,"
@@ -384,4 +387,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_INSTANCES_H_
+#endif  // REVIEW_STANDINS_2_INSTANCES_HPP_
--- a/review/standins-2/loop.h
+++ b/review/standins-2/loop.hpp
@@ -1,7 +1,7 @@
 // A poll loop with timers, and a log of what happened, for the stand-ins of the
 // review cases.
-#ifndef REVIEW_STANDINS_2_LOOP_H_
-#define REVIEW_STANDINS_2_LOOP_H_
+#ifndef REVIEW_STANDINS_2_LOOP_HPP_
+#define REVIEW_STANDINS_2_LOOP_HPP_
 
 #include <poll.h>
 #include <time.h>
@@ -136,4 +136,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_LOOP_H_
+#endif  // REVIEW_STANDINS_2_LOOP_HPP_
--- a/review/standins-2/packet.h
+++ b/review/standins-2/packet.hpp
@@ -1,6 +1,6 @@
 // The packet of PROTOCOL.md, "Packets", and loopback sockets.
-#ifndef REVIEW_STANDINS_2_PACKET_H_
-#define REVIEW_STANDINS_2_PACKET_H_
+#ifndef REVIEW_STANDINS_2_PACKET_HPP_
+#define REVIEW_STANDINS_2_PACKET_HPP_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -16,7 +16,7 @@
 #include <tuple>
 #include <vector>
 
-#include "loop.h"
+#include "loop.hpp"
 
 namespace review {
 
@@ -147,10 +147,9 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   }
   const sockaddr_in native = ToNative(local);
-  const bool is_bound =
-      bind(fd, reinterpret_cast<const sockaddr*>(&native), sizeof(native)) ==
-          0 &&
-      (type != SOCK_STREAM || listen(fd, 128) == 0);
+  const bool is_bound = bind(fd, reinterpret_cast<const sockaddr*>(&native),
+                             sizeof(native)) == 0 &&
+                        (type != SOCK_STREAM || listen(fd, 128) == 0);
   if (is_bound) return fd;
   close(fd);
   return -1;
@@ -164,4 +163,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_PACKET_H_
+#endif  // REVIEW_STANDINS_2_PACKET_HPP_
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.hpp
@@ -1,8 +1,8 @@
 // A small deployment on loopback: seven instances and eighteen targets in three
 // zones, clients in each, and a store. Follows the sheet of bbb-wien in
 // SYSTEM.md.
-#ifndef REVIEW_STANDINS_2_SITE_H_
-#define REVIEW_STANDINS_2_SITE_H_
+#ifndef REVIEW_STANDINS_2_SITE_HPP_
+#define REVIEW_STANDINS_2_SITE_HPP_
 
 #include <algorithm>
 #include <map>
@@ -11,10 +11,10 @@
 #include <string>
 #include <vector>
 
-#include "client.h"
-#include "instances.h"
-#include "store.h"
-#include "target.h"
+#include "client.hpp"
+#include "instances.hpp"
+#include "store.hpp"
+#include "target.hpp"
 
 namespace review {
 
@@ -36,8 +36,8 @@
   const char* const trouble = std::getenv("TROUBLE");
   options.has_trouble = trouble == nullptr || std::string(trouble) != "0";
   const char* const seed = std::getenv("SEED");
-  options.seed = seed == nullptr ? static_cast<uint64_t>(getpid())
-                                 : std::stoull(seed);
+  options.seed =
+      seed == nullptr ? static_cast<uint64_t>(getpid()) : std::stoull(seed);
   return options;
 }
 
@@ -108,17 +108,19 @@
     loop_.After(kLeadMs + ms - loop_.Now(), todo);
   }
 
-  /// The load of the sheet: 291 users of long flows, about one request a second
-  /// each and nine a flow, 83.3 registrations and 25 uploads a second.
-  void AddUsualLoad() {
-    for (size_t i = 0; i < 291; ++i) {
+  /// The load of the sheet, or `factor` times as much: 291 users of long flows,
+  /// about one request a second each and nine a flow, 83.3 registrations and 25
+  /// uploads a second.
+  void AddUsualLoad(double factor = 1) {
+    const auto users = static_cast<size_t>(291 * factor);
+    for (size_t i = 0; i < users; ++i) {
       At(static_cast<double>(i) * 10, [this, i] {
         clients_[i % clients_.size()]->AddUser(feed_, 500, 1500, 9);
       });
     }
-    At(0, [this] {
-      KeepAsking(registration_, 83.3);
-      KeepAsking(upload_, 25);
+    At(0, [this, factor] {
+      KeepAsking(registration_, 83.3 * factor);
+      KeepAsking(upload_, 25 * factor);
     });
   }
 
@@ -196,7 +198,7 @@
   std::function<void(const flow_key&, const packet&, bool is_open)>
       on_client_reset;
 
-  /// True if the manifest holds the route; see WriteManifest.
+  /// Writes the first manifest, with one route for each kind of request.
   void WriteManifest() {
     const auto route = [](const std::string& name, const address& a,
                           const std::string& type, int timeout, int priority,
@@ -216,7 +218,8 @@
     };
     store_.Put("config", "main",
                "{\"version\":7,\"routes\":[" +
-                   route("r-feed", feed_.service, "safe", 1200, 2, "listings") + "," +
+                   route("r-feed", feed_.service, "safe", 1200, 2, "listings") +
+                   "," +
                    route("r-registration", registration_.service, "unsafe",
                          1500, 1, "listings") +
                    "," +
@@ -305,9 +308,9 @@
       record_.Line("client gets a packet with a wrong sum from %s",
                    Text(p.source).c_str());
     };
-    clients_.push_back(std::make_unique<client>(
-        loop_, address{block_.Client(i), kPacketPort}, random_(),
-        std::move(hooks)));
+    clients_.push_back(
+        std::make_unique<client>(loop_, address{block_.Client(i), kPacketPort},
+                                 random_(), std::move(hooks)));
   }
 
   const case_options options_;
@@ -330,4 +333,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_SITE_H_
+#endif  // REVIEW_STANDINS_2_SITE_HPP_
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.hpp
@@ -1,7 +1,7 @@
 // The platform's metadata store, as far as the instances call it: lists and
 // watches of objects (PROTOCOL.md, "The platform's metadata store").
-#ifndef REVIEW_STANDINS_2_STORE_H_
-#define REVIEW_STANDINS_2_STORE_H_
+#ifndef REVIEW_STANDINS_2_STORE_HPP_
+#define REVIEW_STANDINS_2_STORE_HPP_
 
 #include <map>
 #include <memory>
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "packet.h"
+#include "packet.hpp"
 
 namespace review {
 
@@ -20,9 +20,8 @@
     for (const address& local : locals) {
       const int listener = BindSocket(local, SOCK_STREAM);
       if (listener < 0) CannotRun("bind store " + Text(local));
-      loop_.OnReadable(listener, [this, listener, local] {
-        Accept(listener, local);
-      });
+      loop_.OnReadable(listener,
+                       [this, listener, local] { Accept(listener, local); });
     }
   }
 
@@ -166,13 +165,14 @@
     if (is_down_) c.is_silent = true;
     if (c.is_silent) return;
     const size_t begin = line.find(' ') + 1;
-    const std::string target = line.substr(begin, line.find(' ', begin) - begin);
+    const std::string target =
+        line.substr(begin, line.find(' ', begin) - begin);
     const std::string prefix = "/objects/";
     if (line.rfind("GET " + prefix, 0) != 0) return Answer(c, 404, "{}");
-    c.kind = target.substr(prefix.size(),
-                           target.find('?') == std::string::npos
-                               ? std::string::npos
-                               : target.find('?') - prefix.size());
+    c.kind =
+        target.substr(prefix.size(), target.find('?') == std::string::npos
+                                         ? std::string::npos
+                                         : target.find('?') - prefix.size());
     const std::string watch = QueryValue(target, "watch");
     if (watch.empty()) return AnswerList(c, QueryValue(target, "after"));
     c.since = std::stoull(watch);
@@ -181,8 +181,9 @@
     for (const event& e : events_) {
       if (e.kind == c.kind && e.revision > c.since) return AnswerWatch(c);
     }
-    c.timer = loop_.After(wait.empty() ? 0 : std::stod(wait),
-                          [this, fd = c.fd] { AnswerWatch(*channels_.at(fd)); });
+    c.timer =
+        loop_.After(wait.empty() ? 0 : std::stod(wait),
+                    [this, fd = c.fd] { AnswerWatch(*channels_.at(fd)); });
   }
 
   void AnswerWatch(channel& c) {
@@ -235,4 +236,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_STORE_H_
+#endif  // REVIEW_STANDINS_2_STORE_HPP_
--- a/review/standins-2/target.h
+++ b/review/standins-2/target.hpp
@@ -1,7 +1,7 @@
 // Backend servers (targets) as PROTOCOL.md, "Flows", "Targets" and "Service
 // discovery" describe them.
-#ifndef REVIEW_STANDINS_2_TARGET_H_
-#define REVIEW_STANDINS_2_TARGET_H_
+#ifndef REVIEW_STANDINS_2_TARGET_HPP_
+#define REVIEW_STANDINS_2_TARGET_HPP_
 
 #include <functional>
 #include <map>
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "packet.h"
-#include "store.h"
+#include "packet.hpp"
+#include "store.hpp"
 
 namespace review {
 
@@ -266,9 +266,11 @@
     Send(key, Reply(key, f, kAck));
     const size_t most_waiting = 12;
     if (running_ < settings_.slots) return Run({life_, key, request});
-    if (queue_.size() < most_waiting) return queue_.push_back({life_, key, request});
-    Respond(key, "HTTP/1.1 503 Service Unavailable\r\n"
-                 "X-Poplarstair-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    if (queue_.size() < most_waiting)
+      return queue_.push_back({life_, key, request});
+    Respond(key,
+            "HTTP/1.1 503 Service Unavailable\r\n"
+            "X-Poplarstair-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
   }
 
   void Run(const job& started) {
@@ -279,11 +281,10 @@
     loop_.After(settings_.work_ms * factor * spread(random_), [this, started] {
       if (started.life != life_ || !is_alive_) return;
       --running_;
-      Respond(started.key, "HTTP/1.1 200 OK\r\nX-Poplarstair-Server-Stamp: " +
-                               Name() +
-                               "\r\nX-Poplarstair-Request-Id: " +
-                               started.request +
-                               "\r\nContent-Length: 5\r\n\r\nhello");
+      Respond(started.key,
+              "HTTP/1.1 200 OK\r\nX-Poplarstair-Server-Stamp: " + Name() +
+                  "\r\nX-Poplarstair-Request-Id: " + started.request +
+                  "\r\nContent-Length: 5\r\n\r\nhello");
       if (queue_.empty()) return;
       const job next = queue_.front();
       queue_.erase(queue_.begin());
@@ -389,4 +390,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_TARGET_H_
+#endif  // REVIEW_STANDINS_2_TARGET_HPP_
