--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// Datagrams that the network loses in the whole run.
-constexpr size_t kMostLost = 4;
+constexpr size_t kMostLost = 2;
 /// When they are lost, and when the restarts begin: by then, no target or link
 /// has had a disruption for stable_window_ms (4,000).
 constexpr double kLossAt = 5000;
