--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -114,9 +114,8 @@
   void AddUsualLoad(double factor = 1) {
     const auto users = static_cast<size_t>(291 * factor);
     for (size_t i = 0; i < users; ++i) {
-      At(static_cast<double>(i) * 10, [this, i] {
-        clients_[i % clients_.size()]->AddUser(feed_, 500, 1500, 9);
-      });
+      At(static_cast<double>(i) * 10,
+         [this] { DrawClient().AddUser(feed_, 500, 1500, 9); });
     }
     At(0, [this, factor] {
       KeepAsking(registration_, 83.3 * factor);
@@ -129,7 +128,7 @@
     std::exponential_distribution<double> pause(per_s / 1e3);
     loop_.After(pause(random_), [this, route, per_s] {
       if (is_over_) return;
-      clients_[random_() % clients_.size()]->Ask(route);
+      DrawClient().Ask(route);
       KeepAsking(route, per_s);
     });
   }
@@ -235,6 +234,12 @@
  private:
   static constexpr size_t kClients = 12;
 
+  /// A client, of a zone drawn by the zones' traffic on the sheet's days.
+  client& DrawClient() {
+    std::discrete_distribution<size_t> zone({136, 118, 146});
+    return *clients_[zone(random_) + 3 * (random_() % (kClients / 3))];
+  }
+
   void AddTarget(const std::string& service, const std::string& zone,
                  double work_ms) {
     target_settings settings;
