--- a/review/standins-2/client.hpp
+++ b/review/standins-2/client.hpp
@@ -150,7 +150,7 @@
     f.sent.data =
         f.user.route.method +
         " / HTTP/1.1\r\nHost: x\r\nX-Poplarstair-Request-Id: " + f.request +
-        "\r\n\r\n";
+        (f.user.keeps_port ? "\r\nConnection: close" : "") + "\r\n\r\n";
     f.seq += static_cast<uint32_t>(f.sent.data.size());
     f.sent_again = 0;
     Send(f, f.sent);
@@ -244,7 +244,13 @@
       if (was_asking) return End(port, "closed");
       loop_.Cancel(f.timer);
       flows_.erase(port);
-      if (user.keeps_flow) Open(user);
+      if (user.keeps_port) {
+        std::uniform_real_distribution<double> pause(user.least_pause_ms,
+                                                     user.most_pause_ms);
+        loop_.After(pause(random_), [this, user] { Open(user); });
+      } else if (user.keeps_flow) {
+        Open(user);
+      }
     }
   }
 
@@ -260,10 +266,15 @@
     f.request.clear();
     std::uniform_real_distribution<double> pause(f.user.least_pause_ms,
                                                  f.user.most_pause_ms);
+    if (f.user.keeps_port) {
+      // The target closes first, as the request asks for; the port is free as
+      // soon as the flow is closed.
+      f.user.port = is_served ? port : 0;
+      return Send(f, NewPacket(f, kAck));
+    }
     if (++f.requests >= f.user.requests_per_flow) {
       Send(f, NewPacket(f, kAck | kFin));
-      habit user = f.user;
-      user.port = user.keeps_port ? port : 0;
+      const habit user = f.user;
       flows_.erase(port);
       if (user.keeps_flow) {
         loop_.After(pause(random_), [this, user] { Open(user); });
--- a/review/standins-2/target.hpp
+++ b/review/standins-2/target.hpp
@@ -141,6 +141,9 @@
     uint32_t echo = 0;
     bool is_open = false;
     bool is_closing = false;
+    /// The request under way asks to close the flow after its answer.
+    bool is_last_request = false;
+    bool has_sent_fin = false;
     /// What the client has not acknowledged yet.
     packet unacknowledged;
     bool has_unacknowledged = false;
@@ -226,7 +229,8 @@
     }
     if (!p.data.empty()) OnData(key, f, p);
     if (p.Has(kFin)) {
-      packet reply = Reply(key, f, kAck | kFin);
+      packet reply = Reply(key, f, f.has_sent_fin ? kAck : kAck | kFin);
+      if (f.has_sent_fin) reply.seq += 1;
       reply.ack = p.seq + static_cast<uint32_t>(p.data.size()) + 1;
       Send(key, reply);
       Close(key);
@@ -256,6 +260,8 @@
     }
     f.expected += static_cast<uint32_t>(p.data.size());
     f.is_working = true;
+    f.is_last_request =
+        p.data.find("\r\nConnection: close\r\n") != std::string::npos;
     const std::string header = "X-Poplarstair-Request-Id: ";
     const size_t at = p.data.find(header);
     const std::string request =
@@ -297,7 +303,7 @@
     if (it == flows_.end()) return;
     flow& f = it->second;
     f.is_working = false;
-    f.is_closing = is_draining_;
+    f.is_closing = is_draining_ || f.is_last_request;
     packet reply = Reply(key, f, kAck);
     reply.data = text;
     f.own_seq += static_cast<uint32_t>(text.size());
@@ -308,6 +314,7 @@
     packet fin = Reply(key, f, kAck | kFin);
     Send(key, fin);
     f.is_closing = false;
+    f.has_sent_fin = true;
   }
 
   packet Reply(const flow_key& key, const flow& f, uint8_t flags) const {
