A flow is placed once; copies that another instance may have placed are reset

Cause: an instance that saw no answer sent the opening packet to a second server. Both answered. A client's packets carry the cookie that it received last, here that of the first server's repeated answer; only the instance that had sent the packet twice knew which server had the flow. A copy that reached another instance, or the same one after a restart, was placed anew with the same result.

Ruled out: telling the other instances (lost with a datagram or a restart); a mark in the second server's cookie (the client's packet carries the first one's).

Change: the opening packet and its copies go to one server, while that one takes new flows. If it is overdue twice, or its client repeats it, and the server has answered nobody since while another one answers, the flow is reset; so is a copy that this instance has not placed. The client opens another flow at once. An open flow ignores the reset: its sequence number is 0.

--- a/poplarstair/diagnosis/failure_explainer.cc
+++ b/poplarstair/diagnosis/failure_explainer.cc
@@ -153,9 +153,6 @@
     const auto resets = FindNearby([this](const log_line& line) {
       return IsAboutFlow(line) && line.event == "flow_reset";
     });
-    const auto replacements = FindNearby([this](const log_line& line) {
-      return IsAboutFlow(line) && line.Field("outcome") == "placed_again";
-    });
     std::set<std::string_view> servers;
     for (const log_line* line : silent) servers.insert(line->Field("server"));
     if (servers.size() >= kMinServersUnreachable) {
@@ -164,7 +161,7 @@
                            std::string(domain_) + " were unreachable",
                        silent);
     }
-    if (servers.contains(server_) || !resets.empty() || !replacements.empty()) {
+    if (servers.contains(server_) || !resets.empty()) {
       return SetResult(failure_cause::kServerSilent,
                        "server " + std::string(server_) + " did not answer",
                        silent);
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -256,8 +256,7 @@
       } else if (IsHolding(now)) {
         continue;
       } else {
-        decision = Place(now, held->packet, held->hash, *route, held->service,
-                         kNoServer);
+        decision = Place(now, held->packet, held->hash, *route, held->service);
       }
       decisions_[static_cast<size_t>(decision.reason)]->Add();
       if (decision.verdict == steer_verdict::kForward) {
@@ -292,44 +291,54 @@
     return now < hold_until_ && confirmed_at_ <= paused_at_;
   }
 
+  /// Places a new flow. A flow is placed once: two servers that answer its
+  /// handshake would leave each instance to guess which of them has it.
   steer_decision OnOpening(time_point now, const segment& packet, uint64_t hash,
                            std::span<const uint8_t> bytes) {
     flow_record* record = flows_.Find(hash);
+    const bool is_placed =
+        record != nullptr && record->opening == packet.sequence;
     if (record != nullptr && record->is_open) {
       return Forward(record->row, steer_reason::kOpenFlow);
     }
     if (complete_since_ == kNever || IsHolding(now)) {
       return {steer_verdict::kDrop, steer_reason::kNotReady, {}, {}, 0};
     }
+    if (is_placed) {
+      record->copied_at = now;
+      record->is_repeated = true;
+      flows_.OnRepeat(now, *record, hash);
+      return PlaceAgain(now, packet, hash, *record, false);
+    }
+    if (admission_.IsHeld(hash)) {
+      return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
+    }
+    if (packet.copy > 0) return RefuseCopy(now, packet);
     const service_route* route = routes_.Find(packet.service);
     const std::string* service =
-        route == nullptr ? nullptr : ServiceFor(*route, hash, record);
+        route == nullptr ? nullptr : ServiceFor(*route, hash);
     if (service == nullptr) {
       return Refuse(now, packet, steer_reason::kUnknownRoute);
     }
-    if (admission_.IsHeld(hash)) {
+    flows_.Close(now, hash);
+    const admission_verdict verdict =
+        Admit(now, packet, hash, bytes, *route, service);
+    if (verdict == admission_verdict::kHold) {
       return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
     }
-    server_row avoided = kNoServer;
-    if (record != nullptr) {
-      record->copied_at = now;
-      record->is_repeated = true;
-      flows_.OnRepeat(now, *record, hash);
-      if (AnswersOthers(now, *record)) {
-        return Forward(record->row, steer_reason::kPlacedAgain);
-      }
-      avoided = record->row;
-    } else {
-      const admission_verdict verdict =
-          Admit(now, packet, hash, bytes, *route, service);
-      if (verdict == admission_verdict::kHold) {
-        return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
-      }
-      if (verdict == admission_verdict::kRefuse) {
-        return RefuseForRoom(now, packet);
-      }
+    if (verdict == admission_verdict::kRefuse) {
+      return RefuseForRoom(now, packet);
     }
-    return Place(now, packet, hash, *route, *service, avoided);
+    return Place(now, packet, hash, *route, *service);
+  }
+
+  /// Another instance may have placed the flow. The reset makes the client open
+  /// another flow at once; if this one has opened meanwhile, its client ignores
+  /// the reset, whose sequence number is not near what it expects.
+  steer_decision RefuseCopy(time_point now, const segment& packet) {
+    actions_.log(RefusedLine(Facts(now), packet, steer_reason::kUnknownOpening,
+                             routes_.Version(), true));
+    return {steer_verdict::kReset, steer_reason::kUnknownOpening, {}, {}, 0};
   }
 
   /// Another service of the route replaces `service` if it has a free slot and
@@ -362,18 +371,9 @@
   }
 
   /// The service that the weights choose; another one of the route while that
-  /// one has no server that takes flows and answers. A flow that was sent to a
-  /// server of the route, if `record` is set, stays at its service.
-  const std::string* ServiceFor(const service_route& route, uint64_t hash,
-                                const flow_record* record) const {
-    if (record != nullptr && record->row != kNoServer) {
-      const std::string& used = servers_.At(record->row).service;
-      for (const weighted_service& s : route.services) {
-        if (s.weight > 0 && s.service == used && IsServed(used)) {
-          return &s.service;
-        }
-      }
-    }
+  /// one has no server that takes flows and answers.
+  const std::string* ServiceFor(const service_route& route,
+                                uint64_t hash) const {
     const std::string* chosen = route_index::ServiceOf(route, hash);
     if (chosen == nullptr || route.services.size() == 1) return chosen;
     if (IsServed(*chosen)) return chosen;
@@ -394,12 +394,13 @@
     }
   }
 
-  /// The caller would repeat its packet only after its own timeout. A server
-  /// that answers others gets the packet again, as it was likely lost; for one
-  /// that answers nobody another is chosen.
+  /// The caller would repeat its packet only after its own timeout.
   void OnOverdue(time_point now, awaited_handshake overdue) {
     flow_record* const known = flows_.Find(overdue.hash);
-    if (known == nullptr || known->is_open) return;
+    if (known == nullptr || known->is_open ||
+        known->opening != overdue.packet.sequence) {
+      return;
+    }
     flow_record& record = *known;
     if (record.copied_at > overdue.sent_at || flows_.IsLate(now)) return;
     // The answer may wait here unread: it gets as long again as the check has
@@ -411,24 +412,22 @@
       return awaited_.Add(std::move(overdue));
     }
     flows_.Handshakes().OnOverdue();
-    // The first server may have refused the flow, which only its caller sees:
-    // then nobody is left to answer the handshake of another server.
-    const bool is_first_server = overdue.sent_again == 0;
-    if (is_first_server &&
-        estimates_.OnOverdue(now, record.row, overdue.hash, record.sent_at)) {
-      LogSilence(now, record.row, "handshakes");
-    }
-    const service_route* route = routes_.Find(overdue.packet.service);
-    if (route == nullptr || IsHolding(now)) return;
-    const std::string* service = ServiceFor(*route, overdue.hash, &record);
-    if (service == nullptr) return;
-    steer_decision decision = Forward(record.row, steer_reason::kPlacedAgain);
-    if (!AnswersOthers(now, record)) {
-      decision = Place(now, overdue.packet, overdue.hash, *route, *service,
-                       record.row);
+    const bool is_first = overdue.sent_again == 0;
+    const bool falls_silent =
+        is_first ? estimates_.OnOverdue(now, record.row, overdue.hash,
+                                        record.sent_at)
+                 : estimates_.OnOverdueAgain(now, record.row, overdue.hash,
+                                             record.sent_at);
+    if (falls_silent) LogSilence(now, record.row, "handshakes");
+    if (IsHolding(now)) return;
+    const bool may_be_lost = is_first && !estimates_.IsSilent(record.row);
+    const steer_decision decision =
+        PlaceAgain(now, overdue.packet, overdue.hash, record, may_be_lost);
+    decisions_[static_cast<size_t>(decision.reason)]->Add();
+    if (decision.verdict == steer_verdict::kReset) {
+      actions_.reset(overdue.packet);
     }
     if (decision.verdict != steer_verdict::kForward) return;
-    decisions_[static_cast<size_t>(decision.reason)]->Add();
     actions_.send_again(overdue.bytes, decision);
     record.is_repeated = true;
     ++overdue.sent_again;
@@ -436,16 +435,67 @@
     Await(now, std::move(overdue));
   }
 
-  /// True if a flow's server lives, so that a copy of its packet has to reach
-  /// the same one: two servers must not answer one flow.
+  /// Sends the packet that opened a flow to its server again, or ends the flow
+  /// if another server would be better for its client: the reset makes it open
+  /// a new one at once. `may_be_lost` means that a single packet is missing,
+  /// which says nothing of the server.
+  steer_decision PlaceAgain(time_point now, const segment& packet,
+                            uint64_t hash, const flow_record& record,
+                            bool may_be_lost) {
+    const service_route* route = routes_.Find(packet.service);
+    if (route == nullptr) {
+      return Refuse(now, packet, steer_reason::kUnknownRoute);
+    }
+    steer_reason problem = steer_reason::kServerSilent;
+    if (!MayOpen(now, *route, record)) {
+      problem = steer_reason::kServerGone;
+    } else if (may_be_lost || AnswersOthers(now, record) ||
+               !HasOtherServer(now, *route, record.row)) {
+      return Forward(record.row, steer_reason::kPlacedAgain);
+    }
+    actions_.log(ResetLine(Facts(now), packet, record.row, problem,
+                           now - record.request_at));
+    flows_.Close(now, hash);
+    return {steer_verdict::kReset, problem, {}, {}, 0};
+  }
+
+  /// True if the flow would still be placed where it was placed.
+  bool MayOpen(time_point now, const service_route& route,
+               const flow_record& record) const {
+    const known_server& server = servers_.At(record.row);
+    const bool is_cold = server.cold_until > now;
+    return server.TakesNewFlows() && (!is_cold || record.is_placed_cold) &&
+           std::any_of(route.services.begin(), route.services.end(),
+                       [&server](const weighted_service& s) {
+                         return s.weight > 0 && s.service == server.service;
+                       });
+  }
+
+  /// True if the route has another warm server that takes flows and answers.
+  bool HasOtherServer(time_point now, const service_route& route,
+                      server_row row) const {
+    const auto is_usable = [this, now, row](server_row other) {
+      const known_server& server = servers_.At(other);
+      return other != row && server.TakesNewFlows() &&
+             server.cold_until <= now && estimates_.TakesFlow(now, other);
+    };
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [this, &is_usable](const weighted_service& s) {
+                         const auto rows = servers_.OfService(s.service);
+                         return s.weight > 0 &&
+                                std::any_of(rows.begin(), rows.end(),
+                                            is_usable);
+                       });
+  }
+
+  /// True if the flow's server has answered others since it got the flow.
   bool AnswersOthers(time_point now, const flow_record& record) const {
     return estimates_.LastProgress(record.row) >= record.sent_at ||
            flows_.IsLate(now);
   }
 
   steer_decision Place(time_point now, const segment& packet, uint64_t hash,
-                       const service_route& route, const std::string& service,
-                       server_row avoided) {
+                       const service_route& route, const std::string& service) {
     const choice_context context{
         servers_,
         estimates_,
@@ -454,15 +504,11 @@
         admission_.Candidates(now, service, servers_),
         [&](server_row row) { return admission_.InProgressAt(service, row); }};
     server_choice choice =
-        ChooseServer(now, context, settings_.choice, service, avoided, random_);
+        ChooseServer(now, context, settings_.choice, service, random_);
     if (choice.cold_owners > 0 &&
         !cold_limits_.Take(now, choice.row, service, choice.cold_owners)) {
       choice.row = kNoServer;
     }
-    if (choice.row == kNoServer && avoided != kNoServer &&
-        servers_.At(avoided).TakesNewFlows()) {
-      choice.row = avoided;
-    }
     if (choice.row == kNoServer) {
       const bool may_wait =
           !HasServer(service) && actions_.others_may_serve(now);
@@ -471,15 +517,17 @@
     estimates_.OnPlaced(now, choice.row);
     flow_record& record = flows_.Add(hash);
     record.row = choice.row;
+    record.opening = packet.sequence;
+    record.next_sequence = packet.sequence + 1;
+    record.is_placed_cold = choice.cold_owners > 0;
     record.kind = route.kind;
     record.sent_at = now;
     record.last_seen = now;
-    if (record.request_at == time_point{}) record.request_at = now;
+    record.request_at = now;
     NoteStarted(now, hash, choice.row);
-    const steer_reason reason =
-        choice.cold_owners > 0 ? steer_reason::kPlacedCold
-        : avoided != kNoServer ? steer_reason::kPlacedAgain
-                               : steer_reason::kPlaced;
+    const steer_reason reason = record.is_placed_cold
+                                    ? steer_reason::kPlacedCold
+                                    : steer_reason::kPlaced;
     actions_.log(PlacedLine(Facts(now), packet, service, choice, reason));
     return Forward(choice.row, reason);
   }
@@ -487,27 +535,35 @@
   steer_decision OnOpenFlow(time_point now, const segment& packet,
                             uint64_t hash) {
     flow_record* record = flows_.Find(hash);
-    const bool is_new = record == nullptr;
-    const bool is_open = !is_new && record->is_open;
-    const server_row named =
-        is_open ? kNoServer : servers_.FindCookie(packet.cookie);
-    if (is_new) {
-      if (named == kNoServer) return OnUnknownCookie(now, packet);
-      record = &flows_.Add(hash);
-    }
-    flows_.OnPacket(now, packet, hash, *record, named,
-                    is_new ? KindOf(packet) : std::nullopt);
-    const server_row row = record->row;
-    const steer_reason problem = ProblemOf(now, packet, *record);
+    if (record == nullptr) return OnUnknownFlow(now, packet, hash);
+    return OnKnownFlow(now, packet, hash, *record, steer_reason::kOpenFlow);
+  }
+
+  steer_decision OnKnownFlow(time_point now, const segment& packet,
+                             uint64_t hash, flow_record& record,
+                             steer_reason reason) {
+    flows_.OnPacket(now, packet, hash, record);
+    const server_row row = record.row;
+    const steer_reason problem = ProblemOf(now, packet, record);
     if (problem != steer_reason::kOpenFlow) {
-      actions_.log(ResetLine(Facts(now), packet, row, problem,
-                             now - record->request_at));
+      actions_.log(
+          ResetLine(Facts(now), packet, row, problem, now - record.request_at));
       flows_.Close(now, hash);
       return {steer_verdict::kReset, problem, {}, {}, 0};
     }
     if (packet.resets) flows_.Close(now, hash);
-    return Forward(row,
-                   is_new ? steer_reason::kCookie : steer_reason::kOpenFlow);
+    return Forward(row, reason);
+  }
+
+  /// Another instance has placed the flow.
+  steer_decision OnUnknownFlow(time_point now, const segment& packet,
+                               uint64_t hash) {
+    const server_row named = servers_.FindCookie(packet.cookie);
+    if (named == kNoServer) return OnUnknownCookie(now, packet);
+    flow_record& record = flows_.Add(hash);
+    record.row = named;
+    if (const auto kind = KindOf(packet)) record.kind = *kind;
+    return OnKnownFlow(now, packet, hash, record, steer_reason::kCookie);
   }
 
   std::optional<request_kind> KindOf(const segment& packet) const {
@@ -580,9 +636,8 @@
             0};
   }
 
-  /// A copy is not refused: another instance may have forwarded an earlier one.
   steer_decision RefuseForRoom(time_point now, const segment& packet) {
-    return Refuse(now, packet, steer_reason::kNoRoom, packet.copy > 0);
+    return Refuse(now, packet, steer_reason::kNoRoom);
   }
 
   steer_decision Forward(server_row row, steer_reason reason) const {
--- a/poplarstair/steering/flow_tracker.cc
+++ b/poplarstair/steering/flow_tracker.cc
@@ -41,10 +41,8 @@
 }
 
 void flow_tracker::OnPacket(time_point now, const segment& packet,
-                            uint64_t hash, flow_record& record,
-                            server_row named,
-                            std::optional<request_kind> kind) {
-  if (!record.is_open) Open(now, packet, hash, record, named, kind);
+                            uint64_t hash, flow_record& record) {
+  if (!record.is_open) Open(now, packet, record);
   record.last_seen = now;
   if (IsAfter(packet.acknowledged, record.acknowledged)) {
     record.acknowledged = packet.acknowledged;
@@ -58,21 +56,13 @@
   }
 }
 
-void flow_tracker::Open(time_point now, const segment& packet, uint64_t hash,
-                        flow_record& record, server_row named,
-                        std::optional<request_kind> kind) {
-  const bool is_new = record.row == kNoServer;
-  // The cookie tells which server's handshake the caller has answered; later
-  // cookies of this flow may stem from another server that answered a copy.
-  const bool is_moved = !is_new && named != kNoServer && named != record.row;
-  if (named != kNoServer) record.row = named;
-  if (is_moved) actions_.started(now, hash, record.row);
+void flow_tracker::Open(time_point now, const segment& packet,
+                        flow_record& record) {
   record.is_open = true;
   record.acknowledged = packet.acknowledged;
-  record.next_sequence = packet.sequence;
   estimates_.OnFlowOpened(record.row);
-  if (is_new) {
-    if (kind) record.kind = *kind;
+  if (!record.opening) {
+    record.next_sequence = packet.sequence;
     return;
   }
   const duration took = now - record.request_at;
--- a/poplarstair/steering/flow_tracker.h
+++ b/poplarstair/steering/flow_tracker.h
@@ -21,7 +21,13 @@
 /// What an instance remembers of a flow. Nothing is lost with it: the cookie
 /// alone still names the server.
 struct flow_record {
+  /// The only server that gets packets of the flow.
   server_row row = kNoServer;
+  /// Sequence number of the packet that opened the flow, which tells it from
+  /// earlier flows of the same port; nothing if another instance has placed it.
+  std::optional<uint32_t> opening;
+  /// The server was cold when the flow was placed.
+  bool is_placed_cold = false;
   /// The caller has answered the handshake.
   bool is_open = false;
   bool has_request = false;
@@ -50,8 +56,7 @@
     std::function<void(server_row)> answers;
     /// A server counts as silent from now on; by whose evidence.
     std::function<void(time_point, server_row, std::string_view source)> silent;
-    /// A flow's request was sent to its server, or the flow has turned out to
-    /// be at that one.
+    /// A flow's request was sent to its server.
     std::function<void(time_point, uint64_t flow, server_row)> started;
     /// A flow's request has ended, or a flow without one; after which time if
     /// by an answer.
@@ -74,13 +79,10 @@
   void Close(time_point now, uint64_t hash);
   size_t Size() const { return flows_.size(); }
 
-  /// A packet that is not the flow's first one has come; the flow opens if it
-  /// is not open yet. `named` is the server that its cookie names, if any; the
-  /// flow has that or one of its own. `kind` is known for flows that others
-  /// have opened.
+  /// A packet of the flow that is not its first one has come; the flow opens if
+  /// it is not open yet.
   void OnPacket(time_point now, const segment& packet, uint64_t hash,
-                flow_record& record, server_row named,
-                std::optional<request_kind> kind);
+                flow_record& record);
   /// The caller has repeated what it sent to the flow's server.
   void OnRepeat(time_point now, const flow_record& record, uint64_t hash);
   /// This instance was late itself: until then repetitions prove nothing.
@@ -96,9 +98,7 @@
   time_point LastProgress() const { return last_progress_; }
 
  private:
-  void Open(time_point now, const segment& packet, uint64_t hash,
-            flow_record& record, server_row named,
-            std::optional<request_kind> kind);
+  void Open(time_point now, const segment& packet, flow_record& record);
   void TrackData(time_point now, const segment& packet, flow_record& record,
                  uint64_t hash);
   void EndRequest(time_point now, uint64_t hash, flow_record& record);
--- a/poplarstair/steering/server_choice.cc
+++ b/poplarstair/steering/server_choice.cc
@@ -31,24 +31,23 @@
   std::vector<server_row> rows_;
 };
 
-bool IsEligible(time_point now, const choice_context& context, server_row row,
-                server_row avoided) {
+bool IsEligible(time_point now, const choice_context& context, server_row row) {
   const known_server& server = context.servers.At(row);
-  if (row == avoided || !server.TakesNewFlows()) return false;
+  if (!server.TakesNewFlows()) return false;
   if (!context.estimates.TakesFlow(now, row)) return false;
   // The connection test at this address reached the server that now has it.
   return !server.is_address_taken || !context.estimates.IsOnTrial(row);
 }
 
 server_choice ChooseCandidate(time_point now, const choice_context& context,
-                              server_row avoided, random_source& random) {
+                              random_source& random) {
   server_choice best;
   const size_t count = context.candidates.size();
   // Ties go to a random one.
   const size_t first = count == 0 ? 0 : RandomBelow(random, count);
   for (size_t i = 0; i < count; ++i) {
     const server_row row = context.candidates[(first + i) % count];
-    if (!IsEligible(now, context, row, avoided)) continue;
+    if (!IsEligible(now, context, row)) continue;
     if (context.servers.At(row).cold_until > now) continue;
     ++best.eligible;
     const double wait = context.estimates.ExpectedWaitBehind(
@@ -64,17 +63,15 @@
 
 server_choice ChooseServer(time_point now, const choice_context& context,
                            const choice_settings& settings,
-                           const std::string& service, server_row avoided,
-                           random_source& random) {
-  const server_choice candidate =
-      ChooseCandidate(now, context, avoided, random);
+                           const std::string& service, random_source& random) {
+  const server_choice candidate = ChooseCandidate(now, context, random);
   if (candidate.row != kNoServer) return candidate;
   candidate_group own;
   candidate_group others;
   candidate_group cold;
   for (const server_row row : context.servers.OfService(service)) {
     const known_server& server = context.servers.At(row);
-    if (!IsEligible(now, context, row, avoided)) continue;
+    if (!IsEligible(now, context, row)) continue;
     if (server.cold_until > now) {
       if (context.cold_owners(server) > 0) cold.Add(row);
       continue;
--- a/poplarstair/steering/server_choice.h
+++ b/poplarstair/steering/server_choice.h
@@ -46,14 +46,13 @@
 /// Chooses the server with the least expected wait among a random sample of the
 /// servers of `service`. One of another failure domain is chosen only if the
 /// flow would have to wait for a slot in the own one: it would break if the
-/// domains are partitioned. Never chooses `avoided`. Cold servers are
+/// domains are partitioned. Cold servers are
 /// considered only if no warm server is available. The row is kNoServer if
 /// there is none. If candidates are given, the one where the own requests end
 /// first is chosen.
 server_choice ChooseServer(time_point now, const choice_context& context,
                            const choice_settings& settings,
-                           const std::string& service, server_row avoided,
-                           random_source& random);
+                           const std::string& service, random_source& random);
 
 }  // namespace poplarstair
 
--- a/poplarstair/steering/steer_decision.h
+++ b/poplarstair/steering/steer_decision.h
@@ -20,6 +20,7 @@
 
 enum class steer_reason : uint8_t {
   kPlaced,
+  /// The packet that opened the flow was sent to its server again.
   kPlacedAgain,
   kPlacedCold,
   kOpenFlow,
@@ -35,15 +36,17 @@
   kHeld,
   /// The service has no room for it before its client sends it again.
   kNoRoom,
+  /// A copy of an opening packet that another instance may have placed.
+  kUnknownOpening,
 };
 
 template <>
 struct enum_names<steer_reason> {
   static constexpr std::string_view kNames[] = {
-      "placed",      "placed_again",  "placed_cold", "open_flow",
-      "cookie",      "unknown_route", "no_server",   "unknown_cookie",
-      "server_gone", "server_silent", "not_ready",   "held",
-      "no_room"};
+      "placed",      "placed_again",   "placed_cold", "open_flow",
+      "cookie",      "unknown_route",  "no_server",   "unknown_cookie",
+      "server_gone", "server_silent",  "not_ready",   "held",
+      "no_room",     "unknown_opening"};
 };
 
 struct steer_decision {
