A server is known by its entry's name, and an entry needs every field

Cause: the adapter took an entry without `born` for a whole one, and servers were known by the digits of their names. Of two entries with the same digits the order of their names chose, which put another writer's "a-..." before the server's own "i-..."; that one was then rejected as the duplicate.

Ruled out: another order of the two entries. Whatever it is, some entry of another writer comes first.

Change: all fields of the page have to be there, `born` too. A row, and the cookie of its flows, belong to one entry name; entries can't meet in a row any more. Packets name a server by its digits alone, so of whole entries with the same digits only the one that was known first takes new flows, and what any of them says of draining, cold time or a withdrawn domain counts. Connection tests are told apart by row. Cookies differ from those of earlier versions, whose open flows this version can't route.

The tests of the adapter's bad entries lacked `born` too; each now has one fault only. Tests of openings and of entries have files of their own, with a common fixture.

--- a/performance_test/bench_steering.cc
+++ b/performance_test/bench_steering.cc
@@ -94,7 +94,7 @@
   metric_registry metrics;
   flow_steering steering(
       settings, random_source(seed), metrics,
-      {[](const log_record&) {}, [](backend_server_id, const endpoint&) {},
+      {[](const log_record&) {}, [](server_row, const endpoint&) {},
        [](std::span<const uint8_t>, const steer_decision&) {},
        [](const segment&) {}, [](time_point) { return fleet_facts(); },
        [](const known_server&) { return false; },
--- a/poplarstair/daemon/entry_mailboxes.h
+++ b/poplarstair/daemon/entry_mailboxes.h
@@ -10,6 +10,7 @@
 #include "poplarstair/catalog/store_call.h"
 #include "poplarstair/core/endpoint.h"
 #include "poplarstair/daemon/mailbox.h"
+#include "poplarstair/steering/server_set.h"
 
 namespace poplarstair {
 
@@ -27,7 +28,7 @@
 };
 
 struct server_checked {
-  backend_server_id server;
+  server_row server = kNoServer;
   bool is_reachable = false;
 };
 
@@ -66,7 +67,7 @@
 };
 
 struct server_to_check {
-  backend_server_id server;
+  server_row server = kNoServer;
   endpoint address;
 };
 
--- a/poplarstair/daemon/server_check_task.cc
+++ b/poplarstair/daemon/server_check_task.cc
@@ -40,7 +40,7 @@
   }
   attempt& started = attempts_[wanted.server];
   started.connection = std::move(connection);
-  const backend_server_id server = wanted.server;
+  const server_row server = wanted.server;
   started.watcher = std::make_unique<io_watcher>(
       loop_, started.connection.Get(), [this, server](io_watcher::readiness) {
         Finish(server, IsConnected(attempts_.at(server).connection));
@@ -51,7 +51,7 @@
   started.timer->StartOnce(kConnectTimeout);
 }
 
-void server_check_task::Finish(backend_server_id server, bool is_reachable) {
+void server_check_task::Finish(server_row server, bool is_reachable) {
   attempt& finished = attempts_.at(server);
   finished.watcher->WaitFor({false, false});
   finished.timer->Stop();
--- a/poplarstair/daemon/server_check_task.h
+++ b/poplarstair/daemon/server_check_task.h
@@ -26,11 +26,11 @@
   };
 
   void Start(const server_to_check& wanted);
-  void Finish(backend_server_id server, bool is_reachable);
+  void Finish(server_row server, bool is_reachable);
 
   event_loop& loop_;
   entry_mailboxes& board_;
-  std::map<backend_server_id, attempt> attempts_;
+  std::map<server_row, attempt> attempts_;
 };
 
 }  // namespace poplarstair
--- a/poplarstair/daemon/steering_task.cc
+++ b/poplarstair/daemon/steering_task.cc
@@ -109,7 +109,7 @@
       AddForward(packet, decision);
     };
     hooks.reset = [this](const segment& packet) { AddReset(packet); };
-    hooks.check_server = [this](backend_server_id server, endpoint address) {
+    hooks.check_server = [this](server_row server, const endpoint& address) {
       board_.checks.Post({server, address});
     };
     return hooks;
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -118,8 +118,7 @@
     UpdateConfirmed(now);
   }
 
-  void OnServerChecked(time_point now, backend_server_id server,
-                       bool is_reachable) {
+  void OnServerChecked(time_point now, server_row server, bool is_reachable) {
     steering_.OnServerChecked(now, server, is_reachable);
   }
 
@@ -623,7 +622,7 @@
                                collection what, std::string_view exported) {
   impl_->OnFetched(now, peer, what, exported);
 }
-void entry_instance::OnServerChecked(time_point now, backend_server_id server,
+void entry_instance::OnServerChecked(time_point now, server_row server,
                                      bool is_reachable) {
   impl_->OnServerChecked(now, server, is_reachable);
 }
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -54,7 +54,7 @@
     std::function<void(const segment& packet)> reset;
     /// Test whether a backend server takes connections; answered by
     /// OnServerChecked.
-    std::function<void(backend_server_id, endpoint)> check_server;
+    std::function<void(server_row, const endpoint&)> check_server;
   };
 
   entry_instance(const entry_settings& settings, incarnation life,
@@ -74,8 +74,7 @@
   /// `exported` is empty if the instance did not answer.
   void OnFetched(time_point now, const endpoint& peer, collection what,
                  std::string_view exported);
-  void OnServerChecked(time_point now, backend_server_id server,
-                       bool is_reachable);
+  void OnServerChecked(time_point now, server_row server, bool is_reachable);
   /// The process or its machine stood still for `length`.
   void OnPause(time_point now, duration length);
   void OnTick(time_point now);
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -149,14 +149,11 @@
     admission_.OnPeerLoads(now, domain, loads);
   }
 
-  void OnServerChecked(time_point now, backend_server_id server,
-                       bool is_reachable) {
-    const server_row row = servers_.FindId(server);
-    if (row == kNoServer) return;
+  void OnServerChecked(time_point now, server_row row, bool is_reachable) {
     if (!is_reachable) return estimates_.OnUnreachable(row);
     estimates_.OnReachable(now, row);
-    actions_.log(
-        log_record("server_reachable").With("server", ServerName(server)));
+    actions_.log(log_record("server_reachable")
+                     .With("server", ServerName(servers_.At(row).id)));
   }
 
   void OnTick(time_point now) {
@@ -251,7 +248,7 @@
       steer_decision decision;
       if (route == nullptr) {
         decision = Refuse(now, held->packet, steer_reason::kUnknownRoute);
-      } else if (held->verdict == admission_verdict::kRefuse) {
+      } else if (held->verdict == admission_verdict::kRefuse || held->is_late) {
         decision = RefuseForRoom(now, held->packet);
       } else if (IsHolding(now)) {
         continue;
@@ -655,7 +652,7 @@
       if (server.gone_at != kNever || server.is_address_taken) continue;
       ++checks;
       estimates_.OnTested(now, next_checked_);
-      actions_.check_server(server.id, server.address);
+      actions_.check_server(next_checked_, server.address);
     }
   }
 
@@ -752,7 +749,7 @@
                                const std::vector<service_load>& loads) {
   impl_->OnFarLoads(now, domain, loads);
 }
-void flow_steering::OnServerChecked(time_point now, backend_server_id server,
+void flow_steering::OnServerChecked(time_point now, server_row server,
                                     bool is_reachable) {
   impl_->OnServerChecked(now, server, is_reachable);
 }
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -50,7 +50,7 @@
     log_hook log;
     /// Test whether a silent server takes connections; answered by
     /// OnServerChecked.
-    std::function<void(backend_server_id, endpoint)> check_server;
+    std::function<void(server_row, const endpoint&)> check_server;
     /// Send a packet that opened a flow, as decided: once more, or after it was
     /// held.
     std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
@@ -96,8 +96,7 @@
   /// How busy the services are in another failure domain.
   void OnFarLoads(time_point now, const std::string& domain,
                   const std::vector<service_load>& loads);
-  void OnServerChecked(time_point now, backend_server_id server,
-                       bool is_reachable);
+  void OnServerChecked(time_point now, server_row server, bool is_reachable);
   /// To be called at least every kTickInterval.
   void OnTick(time_point now);
 
--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -19,30 +19,24 @@
   return services;
 }
 
-/// Order of two entries with one id, the same at every instance.
-bool Precedes(bool is_service_known, std::string_view name,
-              bool is_other_service_known, std::string_view other) {
-  return std::tuple(!is_service_known, name.size(), name) <
-         std::tuple(!is_other_service_known, other.size(), other);
-}
-
 }  // namespace
 
-flow_cookie server_set::CookieOf(backend_server_id id) {
-  // The seed makes cookies independent of other hashes of the same ids.
+flow_cookie server_set::CookieOf(std::string_view name) {
+  // The seed makes cookies independent of other hashes of the same names.
   constexpr uint64_t kCookieSeed = 0x636f6f6b6965;
   const auto cookie =
-      static_cast<flow_cookie>(HashCombine(id.Value(), kCookieSeed));
+      static_cast<flow_cookie>(HashCombine(HashBytes(name), kCookieSeed));
   return cookie == 0 ? 1 : cookie;
 }
 
-server_row server_set::RowOf(backend_server_id id) {
+server_row server_set::RowOf(time_point now, const std::string& name) {
   const auto [it, is_new] =
-      by_id_.try_emplace(id, static_cast<server_row>(rows_.size()));
+      by_name_.try_emplace(name, static_cast<server_row>(rows_.size()));
   if (!is_new) return it->second;
   known_server server;
-  server.id = id;
-  server.cookie = CookieOf(id);
+  server.name = name;
+  server.cookie = CookieOf(name);
+  server.known_since = now;
   // An ambiguous cookie still maps to the first server that had it, since that
   // server may have open flows. Both servers are marked and get no new flows
   // here, nor at any other instance that knows both, in whatever order the
@@ -57,51 +51,28 @@
   return it->second;
 }
 
-bool server_set::MayDescribe(const description& candidate) const {
-  const server_row row = FindId(candidate.entry->id);
-  if (row == kNoServer) return true;
-  const known_server& server = rows_[row];
-  if (!candidate.is_service_known) {
-    return candidate.name == server.entry_name &&
-           candidate.entry->service == server.service;
-  }
-  return candidate.name == server.entry_name ||
-         Precedes(candidate.is_service_known, candidate.name,
-                  server.is_service_known, server.entry_name);
+bool server_set::MayDescribe(const std::string& name, const server_entry& entry,
+                             bool is_service_known) const {
+  const auto it = by_name_.find(name);
+  return is_service_known || it == by_name_.end() ||
+         rows_[it->second].service == entry.service;
 }
 
-std::vector<server_set::description> server_set::SelectEntries(
-    const catalog& current, std::vector<rejected_entry>& rejected) const {
-  const auto services = ServicesOf(current.routes);
-  absl::flat_hash_map<backend_server_id, size_t> chosen;
-  std::vector<description> selected;
-  const auto reject = [&rejected](const description& d, entry_rejection why) {
-    rejected.push_back({std::string(d.name), d.entry->service, why});
-  };
-  for (const auto& [name, entry] : current.servers) {
-    description candidate{name, &entry, services.contains(entry.service)};
-    if (!MayDescribe(candidate)) {
-      reject(candidate, candidate.is_service_known
-                            ? entry_rejection::kDuplicateId
-                            : entry_rejection::kUnknownService);
-      continue;
-    }
-    const auto [it, is_first] = chosen.try_emplace(entry.id, selected.size());
-    if (is_first) {
-      selected.push_back(candidate);
-      continue;
-    }
-    description& other = selected[it->second];
-    if (Precedes(candidate.is_service_known, name, other.is_service_known,
-                 other.name)) {
-      std::swap(candidate, other);
-    }
-    reject(candidate, entry_rejection::kDuplicateId);
+void server_set::Describe(known_server& server, const server_entry& entry) {
+  if (server.service != entry.service) {
+    const server_row row = by_name_.at(server.name);
+    std::erase(by_service_[server.service], row);
+    by_service_[entry.service].push_back(row);
+    server.service = entry.service;
   }
-  for (const description& d : selected) {
-    if (!d.is_service_known) reject(d, entry_rejection::kUnknownService);
-  }
-  return selected;
+  server.id = entry.id;
+  server.address = entry.address;
+  server.failure_domain = entry.failure_domain;
+  server.state = entry.state;
+  server.slots = std::max(entry.slots, 1U);
+  server.cold_until = entry.cold_until;
+  server.born_ms = entry.born_ms;
+  server.gone_at = kNever;
 }
 
 server_changes server_set::Update(time_point now, const catalog& current) {
@@ -109,42 +80,71 @@
   std::vector<rejected_entry> rejected;
   std::vector<bool> is_listed(rows_.size(), false);
   const auto& withdrawn = current.withdrawn_domains;
-  for (const description& d : SelectEntries(current, rejected)) {
-    const server_entry& entry = *d.entry;
-    const server_row row = RowOf(entry.id);
+  const auto services = ServicesOf(current.routes);
+  for (const auto& [name, entry] : current.servers) {
+    const bool is_service_known = services.contains(entry.service);
+    if (!is_service_known) {
+      rejected.push_back(
+          {name, entry.service, entry_rejection::kUnknownService});
+    }
+    if (!MayDescribe(name, entry, is_service_known)) continue;
+    const bool is_new = !by_name_.contains(name);
+    const server_row row = RowOf(now, name);
     is_listed.resize(rows_.size(), false);
     is_listed[row] = true;
     known_server& server = rows_[row];
-    if (server.born_ms != 0 && server.born_ms != entry.born_ms) {
+    if (!is_new && server.born_ms != entry.born_ms) {
       changes.restarted.push_back(row);
     }
-    if (server.service != entry.service) {
-      std::erase(by_service_[server.service], row);
-      by_service_[entry.service].push_back(row);
-      server.service = entry.service;
-    }
-    server.entry_name = d.name;
-    server.is_service_known = d.is_service_known;
-    server.address = entry.address;
-    server.failure_domain = entry.failure_domain;
-    server.state = entry.state;
-    server.slots = std::max(entry.slots, 1U);
-    server.cold_until = entry.cold_until;
-    server.born_ms = entry.born_ms;
+    Describe(server, entry);
+    server.is_service_known = is_service_known;
     server.is_withdrawn = std::binary_search(withdrawn.begin(), withdrawn.end(),
                                              entry.failure_domain);
-    server.gone_at = kNever;
   }
   for (server_row row = 0; row < rows_.size(); ++row) {
     if (!is_listed[row] && rows_[row].gone_at == kNever) {
       rows_[row].gone_at = now;
     }
   }
+  NoteDuplicates(rejected);
   NoteTakenAddresses();
   changes.rejected = NoteRejected(std::move(rejected));
   return changes;
 }
 
+void server_set::NoteDuplicates(std::vector<rejected_entry>& rejected) {
+  // Packets name their server by its id alone, so one of these entries is a
+  // copy. The one that was known first is the server's own; a later start
+  // decides between entries that were learnt together.
+  const auto is_own = [this](server_row a, server_row b) {
+    const known_server& first = rows_[a];
+    const known_server& other = rows_[b];
+    return std::tuple(first.known_since, -first.born_ms, first.name) <
+           std::tuple(other.known_since, -other.born_ms, other.name);
+  };
+  absl::flat_hash_map<backend_server_id, std::vector<server_row>> by_id;
+  for (server_row row = 0; row < rows_.size(); ++row) {
+    rows_[row].is_duplicate = false;
+    if (IsUsable(row)) by_id[rows_[row].id].push_back(row);
+  }
+  for (const auto& [id, rows] : by_id) {
+    if (rows.size() == 1) continue;
+    known_server& own =
+        rows_[*std::min_element(rows.begin(), rows.end(), is_own)];
+    for (const server_row row : rows) {
+      known_server& other = rows_[row];
+      if (&other == &own) continue;
+      other.is_duplicate = true;
+      rejected.push_back(
+          {other.name, other.service, entry_rejection::kDuplicateId});
+      // Whichever is the copy, it is not known to be.
+      if (other.state == server_state::kDraining) own.state = other.state;
+      own.is_withdrawn = own.is_withdrawn || other.is_withdrawn;
+      own.cold_until = std::max(own.cold_until, other.cold_until);
+    }
+  }
+}
+
 std::vector<rejected_entry> server_set::NoteRejected(
     std::vector<rejected_entry> rejected) {
   absl::flat_hash_map<std::string, entry_rejection> reasons;
@@ -178,11 +178,6 @@
   return it == by_cookie_.end() ? kNoServer : it->second;
 }
 
-server_row server_set::FindId(backend_server_id id) const {
-  const auto it = by_id_.find(id);
-  return it == by_id_.end() ? kNoServer : it->second;
-}
-
 std::span<const server_row> server_set::OfService(
     const std::string& service) const {
   const auto it = by_service_.find(service);
--- a/poplarstair/steering/server_set.h
+++ b/poplarstair/steering/server_set.h
@@ -1,4 +1,4 @@
-// Backend servers as flat rows, found by service, by cookie and by id.
+// Backend servers as flat rows, found by service, by cookie and by name.
 #ifndef POPLARSTAIR_STEERING_SERVER_SET_H_
 #define POPLARSTAIR_STEERING_SERVER_SET_H_
 
@@ -23,10 +23,13 @@
 
 /// A backend server as the catalog last described it.
 struct known_server {
+  /// Name of its catalog entry, which alone identifies it: entries of other
+  /// writers may hold the same id.
+  std::string name;
   backend_server_id id;
-  /// Name of the catalog entry that describes it.
-  std::string entry_name;
   flow_cookie cookie = 0;
+  /// When the entry was first seen.
+  time_point known_since{};
   endpoint address;
   std::string service;
   /// The configuration names the service.
@@ -40,6 +43,8 @@
   bool is_withdrawn = false;
   /// Another server has the same cookie.
   bool has_ambiguous_cookie = false;
+  /// Another entry with the same id is taken for the server's own.
+  bool is_duplicate = false;
   /// A server that started later has the same address, so this server's process
   /// has ended, though its catalog entry may still exist.
   bool is_address_taken = false;
@@ -49,7 +54,8 @@
 
   bool TakesNewFlows() const {
     return gone_at == kNever && state == server_state::kReady &&
-           is_service_known && !is_withdrawn && !has_ambiguous_cookie;
+           is_service_known && !is_withdrawn && !has_ambiguous_cookie &&
+           !is_duplicate;
   }
 };
 
@@ -57,7 +63,7 @@
 enum class entry_rejection : uint8_t {
   /// The configuration does not name its service.
   kUnknownService,
-  /// Another entry describes the server with the same id.
+  /// Another entry holds the same id.
   kDuplicateId,
 };
 
@@ -75,15 +81,16 @@
 
 /// What an update of a server_set found.
 struct server_changes {
-  /// Rows whose server has restarted under the same id.
+  /// Rows whose server has restarted under the same name.
   std::vector<server_row> restarted;
   /// Entries that are rejected and were not before, or for another reason.
   std::vector<rejected_entry> rejected;
 };
 
-/// All backend servers that this process has seen in the catalog. An entry of a
-/// service that the configuration does not name serves only open flows that
-/// name its server, and changes nothing of other servers.
+/// All backend servers that this process has seen in the catalog. Each entry
+/// describes the server of its name and says nothing of any other. An entry of
+/// a service that the configuration does not name serves only open flows that
+/// name its server.
 class server_set {
  public:
   server_changes Update(time_point now, const catalog& current);
@@ -92,35 +99,33 @@
   size_t Size() const { return rows_.size(); }
   /// Row of the server with this cookie; kNoServer if there is none.
   server_row FindCookie(flow_cookie cookie) const;
-  server_row FindId(backend_server_id id) const;
   /// All rows of a service, including those that take no new flows.
   std::span<const server_row> OfService(const std::string& service) const;
 
-  /// Cookie of a server; every instance computes the same value. Never 0.
-  static flow_cookie CookieOf(backend_server_id id);
+  /// Cookie of the server with this catalog entry; every instance computes the
+  /// same value. Never 0.
+  static flow_cookie CookieOf(std::string_view name);
 
  private:
-  /// An entry of the catalog that describes the server with its id.
-  struct description {
-    std::string_view name;
-    const server_entry* entry = nullptr;
-    bool is_service_known = false;
-  };
-
-  /// One description for each id; adds the other entries to `rejected`.
-  std::vector<description> SelectEntries(
-      const catalog& current, std::vector<rejected_entry>& rejected) const;
-  /// True if the entry may describe the row with its id, if there is one.
-  bool MayDescribe(const description& candidate) const;
+  /// False for an entry of an unknown service under the name of a server of
+  /// another one: it stands for a missing entry.
+  bool MayDescribe(const std::string& name, const server_entry& entry,
+                   bool is_service_known) const;
+  void Describe(known_server& server, const server_entry& entry);
   /// Stores what is rejected now. Returns the entries that were not rejected
   /// for the same reason before.
   std::vector<rejected_entry> NoteRejected(
       std::vector<rejected_entry> rejected);
-  server_row RowOf(backend_server_id id);
+  /// Adds the entries to `rejected` whose id another one holds.
+  void NoteDuplicates(std::vector<rejected_entry>& rejected);
+  server_row RowOf(time_point now, const std::string& name);
   void NoteTakenAddresses();
+  bool IsUsable(server_row row) const {
+    return rows_[row].gone_at == kNever && rows_[row].is_service_known;
+  }
 
   std::vector<known_server> rows_;
-  absl::flat_hash_map<backend_server_id, server_row> by_id_;
+  absl::flat_hash_map<std::string, server_row> by_name_;
   absl::flat_hash_map<flow_cookie, server_row> by_cookie_;
   absl::flat_hash_map<std::string, std::vector<server_row>> by_service_;
   /// Rejected entries of the catalog, by name.
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -315,7 +315,7 @@
               instance.OnFetched(queue.Now(), peer, what, exported);
             });
     };
-    hooks.check_server = [](backend_server_id, const endpoint&) {};
+    hooks.check_server = [](server_row, const endpoint&) {};
     hooks.send_again = [](std::span<const uint8_t>, const steer_decision&) {};
     hooks.reset = [](const segment&) {};
     return hooks;
--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
+
 using namespace poplarstair;
 
 namespace {
@@ -20,12 +22,24 @@
   return FromStoreAnswer(kNow, request, http_reply{status, {}, body});
 }
 
+constexpr const char* kGoodServer =
+    R"({"service":"a","address":"10.0.0.2:80","zone":"z","version":"v1",)"
+    R"("slots":3,"state":"ready","cold_remaining_ms":0,"seq":4,)"
+    R"("born":1771027013001})";
+
+/// A good entry with `value`, a JSON text, in place of the field's own.
+std::string ServerWith(const std::string& field, const std::string& value) {
+  nlohmann::json spec = nlohmann::json::parse(kGoodServer);
+  spec.erase(field);
+  std::string text = spec.dump();
+  text.insert(1, "\"" + field + "\":" + value + ",");
+  return text;
+}
+
 /// A list of backend servers with one entry whose spec is `spec`, and one that
 /// is as it should be.
 store_reply DecodeServers(const std::string& spec) {
-  const std::string good =
-      R"({"service":"a","address":"10.0.0.2:80","zone":"z","version":"v1",)"
-      R"("slots":3,"state":"ready","cold_remaining_ms":0,"seq":4})";
+  const std::string good = kGoodServer;
   return Decode(ListOf(collection::kServers), 200,
                 R"({"items":[{"meta":{"name":"i-1"},"spec":)" + spec +
                     R"(},{"meta":{"name":"i-2"},"spec":)" + good +
@@ -223,17 +237,27 @@
   cr_assert_eq(server.born_ms, 1771027013001);
 }
 
+// An entry without `born` was taken for a whole one, and hid that the server of
+// the same digits drains (review/6).
 Test(store_codec, an_unreadable_entry_names_no_server_and_harms_no_other) {
-  const std::string bad[] = {
-      "null", "3", "[]", "{}", R"("text")",
-      // A field missing, of another type, unknown, out of range.
-      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","seq":4})",
-      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":"3","state":"ready","cold_remaining_ms":0,"seq":4})",
-      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"sleeping","cold_remaining_ms":0,"seq":4})",
-      R"({"service":"a","address":"nowhere","zone":"z","version":"v1","slots":3,"state":"ready","cold_remaining_ms":0,"seq":4})",
-      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":-1,"state":"ready","cold_remaining_ms":0,"seq":4})",
-      R"({"service":"a","address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","cold_remaining_ms":-5,"seq":4})",
-      R"({"service":7,"address":"10.0.0.1:80","zone":"z","version":"v1","slots":3,"state":"ready","cold_remaining_ms":0,"seq":4})"};
+  std::vector<std::string> bad = {"null", "3", "[]", "{}", R"("text")"};
+  const nlohmann::json good = nlohmann::json::parse(kGoodServer);
+  const char* values[] = {"null",  "true", "-1", "1.5",   R"("x")",
+                          R"("")", "[]",   "{}", "1e300", "[3]"};
+  for (const auto& [field, own] : good.items()) {
+    nlohmann::json missing = good;
+    missing.erase(field);
+    bad.push_back(missing.dump());
+    for (const char* value : values) {
+      const auto parsed = nlohmann::json::parse(value);
+      // A text is as good as another for some fields, and the time that is
+      // left need not be whole.
+      const bool is_like_own = parsed.is_string() && own.is_string() &&
+                               field != "address" && field != "state";
+      const bool is_time = field == "cold_remaining_ms" && parsed == 1.5;
+      if (!is_like_own && !is_time) bad.push_back(ServerWith(field, value));
+    }
+  }
   for (const std::string& spec : bad) {
     const store_reply reply = DecodeServers(spec);
     cr_assert_eq(reply.status, store_status::kOk, "%s", spec.c_str());
@@ -289,22 +313,17 @@
       "224.0.0.1:80",   "[::1]:80",       "255.255.255.255:80"};
   for (const char* address : addresses) {
     const store_reply reply = DecodeServers(
-        R"({"service":"a","address":")" + std::string(address) +
-        R"(","zone":"z","version":"v1","slots":3,"state":"ready",)"
-        R"("cold_remaining_ms":0,"seq":4})");
+        ServerWith("address", "\"" + std::string(address) + "\""));
     cr_assert(IsUnreadable(reply.objects.at(0)), "%s", address);
   }
-  const char* numbers[] = {
-      R"("slots":4294967296,"cold_remaining_ms":0,"seq":4)",
-      R"("slots":99999999999999999999999,"cold_remaining_ms":0,"seq":4)",
-      R"("slots":3,"cold_remaining_ms":1e300,"seq":4)",
-      R"("slots":3,"cold_remaining_ms":0,"seq":18446744073709551616)",
-      R"("slots":3,"cold_remaining_ms":0,"seq":4,"born":9223372036854775808)"};
-  for (const char* number : numbers) {
-    const store_reply reply =
-        DecodeServers(R"({"service":"a","address":"10.0.0.1:80","zone":"z",)"
-                      R"("version":"v1","state":"ready",)" +
-                      std::string(number) + "}");
+  const std::pair<const char*, const char*> numbers[] = {
+      {"slots", "4294967296"},
+      {"slots", "99999999999999999999999"},
+      {"cold_remaining_ms", "1e300"},
+      {"seq", "18446744073709551616"},
+      {"born", "9223372036854775808"}};
+  for (const auto& [field, number] : numbers) {
+    const store_reply reply = DecodeServers(ServerWith(field, number));
     cr_assert(IsUnreadable(reply.objects.at(0)), "%s", number);
     cr_assert(std::holds_alternative<server_entry>(reply.objects.at(1).content),
               "%s", number);
@@ -338,13 +357,10 @@
 Test(store_codec, a_name_that_is_no_id_is_unreadable) {
   for (const char* name : {"xyz", "old-i-7", "i-7-old", "i-7-bad", "i-7.b",
                            "-7", "7", "i-", "i-0"}) {
-    const store_reply reply =
-        Decode(ListOf(collection::kServers), 200,
-               R"({"items":[{"meta":{"name":")" + std::string(name) +
-                   R"("},"spec":{"service":"a",)"
-                   R"("address":"10.0.0.2:80","zone":"z","version":"v1",)"
-                   R"("slots":3,"state":"ready","cold_remaining_ms":0,)"
-                   R"("seq":4}}],"has_more":false,"at_rev":9})");
+    const store_reply reply = Decode(
+        ListOf(collection::kServers), 200,
+        R"({"items":[{"meta":{"name":")" + std::string(name) + R"("},"spec":)" +
+            kGoodServer + R"(}],"has_more":false,"at_rev":9})");
     cr_assert(IsUnreadable(reply.objects.at(0)), "%s", name);
   }
 }
--- /dev/null
+++ b/unit_tests/steering/flow_opening_test.cc
@@ -0,0 +1,194 @@
+// The packets that open a flow, and their copies.
+#include "unit_tests/steering/steering_site.h"
+
+using namespace poplarstair;
+
+// A late packet of an earlier flow of the port left its cookie with the client.
+Test(flow_steering, a_cookie_of_another_server_moves_no_open_flow) {
+  steering_site site;
+  const steer_decision placed = site.Open(1);
+  const uint64_t other = placed.server == backend_server_id(4) ? 3 : 4;
+  for (const bool is_answered : {false, true}) {
+    if (is_answered) site.Answer(1, placed.cookie);
+    const steer_decision later = site.Data(1, site.Cookie(other), 1, 1);
+    cr_assert_eq(later.server, placed.server);
+    cr_assert_eq(later.cookie, placed.cookie);
+  }
+}
+
+Test(flow_steering, a_copy_goes_to_the_same_server_if_that_one_lives) {
+  steering_site site;
+  const steer_decision first = site.Open(1);
+  // Every server answers somebody meanwhile.
+  for (uint64_t id = 1; id <= 4; ++id) {
+    site.Answer(static_cast<uint16_t>(100 + id), site.Cookie(id));
+    site.Open(static_cast<uint16_t>(200 + id));
+  }
+  site.now += milliseconds(10);
+  for (uint64_t id = 1; id <= 4; ++id) {
+    site.Data(static_cast<uint16_t>(100 + id), site.Cookie(id), 1, 900);
+  }
+  site.now += milliseconds(190);
+  cr_assert_eq(site.Open(1, 1).server, first.server);
+}
+
+Test(flow_steering, a_copy_ends_the_flow_if_the_first_server_is_silent) {
+  steering_site site;
+  const steer_decision first = site.Open(1);
+  site.Pass(milliseconds(200));
+  cr_assert_eq(site.Open(1, 1).verdict, steer_verdict::kReset);
+  cr_assert_neq(site.Open(2).server, first.server);
+}
+
+// A server that fell silent cost each new flow the caller's 200 ms.
+Test(flow_steering, an_overdue_handshake_is_sent_again_then_ends_its_flow) {
+  steering_site site;
+  for (uint16_t port = 100; port < 110; ++port) site.OpenAndAnswer(port);
+  const steer_decision first = site.Open(1);
+  site.Pass(milliseconds(100));
+  cr_assert_eq(site.sent_again.size(), 1u);
+  cr_assert_eq(site.sent_again.front().server, first.server);
+  cr_assert_eq(site.reset.size(), 1u);
+  cr_assert_eq(site.reset.front().caller.port, 1);
+  cr_assert_neq(site.Open(2).server, first.server);
+  site.Pass(seconds(1));
+  cr_assert_leq(site.sent_again.size(), 3u);
+}
+
+// A second server got the packet of a flow whose first one was late. The first
+// one's repeated answer then sent the open flow to it at the next instance,
+// where it was reset (review/10).
+Test(flow_steering, no_two_servers_ever_get_the_packet_that_opens_a_flow) {
+  for (uint32_t seed = 1; seed <= 200; ++seed) {
+    random_source random(seed);
+    // Instances come and go between the client's copies; each may lose its
+    // packets to servers, or be the one that placed the flow.
+    std::vector<std::unique_ptr<steering_site>> instances;
+    for (int i = 0; i < 3; ++i) {
+      instances.push_back(std::make_unique<steering_site>());
+    }
+    std::set<backend_server_id> servers;
+    for (uint32_t copy = 0; copy <= kOpeningCopies; ++copy) {
+      const size_t next = RandomBelow(random, instances.size());
+      const bool has_restarted = RandomBelow(random, 2) == 0;
+      if (has_restarted) instances[next] = std::make_unique<steering_site>();
+      const steer_decision decision = instances[next]->Open(1, copy);
+      if (decision.verdict == steer_verdict::kForward) {
+        servers.insert(decision.server);
+      }
+      for (const auto& instance : instances) {
+        instance->Pass(TimeToNextCopy(copy));
+        for (const steer_decision& again : instance->sent_again) {
+          servers.insert(again.server);
+        }
+      }
+    }
+    cr_assert_eq(servers.size(), 1u, "seed %u", seed);
+  }
+}
+
+// An instance that did not place a flow ends it at the client's next copy,
+// whatever else is true: before the client's time is up, and with a reset that
+// an open flow ignores.
+Test(flow_steering, a_copy_that_another_instance_may_have_placed_is_reset) {
+  for (const bool is_full : {false, true}) {
+    for (const uint32_t copy : {1U, 2U}) {
+      steering_site site;
+      if (is_full) {
+        site.LimitRoom();
+        site.FillService();
+      }
+      const steer_decision decision = site.Open(10, copy);
+      cr_assert_eq(decision.verdict, steer_verdict::kReset);
+      cr_assert_eq(decision.reason, steer_reason::kUnknownOpening);
+      site.Pass(milliseconds(600));
+      cr_assert(site.reset.empty());
+      cr_assert(site.sent_again.empty());
+    }
+  }
+}
+
+// The server reported that it drains, or started anew, between two copies.
+Test(flow_steering, a_copy_goes_to_no_server_that_takes_no_new_flows) {
+  using change = std::function<void(steering_site&, server_entry&)>;
+  const change changes[] = {
+      [](steering_site&, server_entry& s) {
+        s.state = server_state::kDraining;
+      },
+      [](steering_site& site, server_entry& s) {
+        site.known.withdrawn_domains = {s.failure_domain};
+      },
+      [](steering_site&, server_entry& s) { s.service = "other"; },
+      [](steering_site& site, server_entry& s) {
+        s.cold_until = site.now + seconds(5);
+      },
+      [](steering_site& site, server_entry&) {
+        site.known.routes.routes.erase(site.known.routes.routes.begin());
+      }};
+  for (const change& apply : changes) {
+    steering_site site;
+    const steer_decision first = site.Open(1);
+    apply(site, site.known.servers.at(std::to_string(first.server.Value())));
+    site.Publish();
+    site.now += milliseconds(200);
+    site.steering.OnConfirmed(site.now);
+    cr_assert_eq(site.Open(1, 1).verdict, steer_verdict::kReset);
+  }
+}
+
+// A server whose process has ended refuses each flow at once; its callers are
+// gone before the flow is tried elsewhere.
+Test(flow_steering, refused_flows_make_no_other_server_silent) {
+  steering_site site;
+  site.known.servers.erase("3");
+  site.known.servers.erase("4");
+  site.Publish();
+  // Work at server 2 sends the next flows to server 1.
+  const flow_cookie second = site.Cookie(2);
+  for (uint16_t port = 1; port <= 10; ++port) {
+    site.Answer(port, second);
+    site.Data(port, second, 1, 1);
+  }
+  for (uint16_t port = 20; port < 22; ++port) {
+    cr_assert_eq(site.Open(port).server, backend_server_id(1));
+  }
+  site.Pass(milliseconds(200));
+  for (uint16_t port = 100; port <= 120; ++port) {
+    cr_assert_eq(site.OpenAndAnswer(port).server, backend_server_id(2));
+  }
+  cr_assert_not(site.tested.contains(backend_server_id(2)));
+}
+
+Test(flow_steering, nothing_is_sent_again_once_the_caller_has_answered) {
+  steering_site site;
+  site.OpenAndAnswer(1);
+  site.Pass(milliseconds(300));
+  cr_assert(site.sent_again.empty());
+}
+
+// A packet was sent again after a time that knew nothing of the client's own
+// copies.
+Test(flow_steering, sends_again_no_more_often_than_clients_do) {
+  steering_site site;
+  for (uint16_t port = 100; port < 110; ++port) site.OpenAndAnswer(port);
+  site.Open(1);
+  site.Pass(milliseconds(180));
+  cr_assert_leq(site.sent_again.size(), size_t{kOpeningCopies});
+  const size_t sent = site.sent_again.size();
+  // The client's copy is due then.
+  site.Pass(milliseconds(800));
+  cr_assert_eq(site.sent_again.size(), sent);
+}
+
+// An answer that waits unread while the instance itself is held up.
+Test(flow_steering, a_check_that_comes_late_leaves_time_to_read_the_answer) {
+  steering_site site;
+  for (uint16_t port = 100; port < 110; ++port) site.OpenAndAnswer(port);
+  const steer_decision placed = site.Open(1);
+  site.now += milliseconds(90);
+  site.steering.OnHandshakeTimer(site.now);
+  cr_assert(site.sent_again.empty());
+  site.Answer(1, placed.cookie);
+  site.Pass(milliseconds(200));
+  cr_assert(site.sent_again.empty());
+}
