A held flow that is decided too late is refused

Cause: a held packet whose client had sent a copy was forgotten, as another instance might have placed the copy. None does since a flow is placed by whoever gets its first packet.

Change: such a packet is refused for lack of room, with a reset. says_nothing_of_held_flows_whose_client_has_gone_on rested on the other instance's flow and gives way to a_held_flow_that_is_decided_too_late_is_refused.

--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -241,9 +241,7 @@
   /// be placed in time any more.
   void DecideHeld(time_point now) {
     while (auto held = admission_.TakeNext(now)) {
-      // Another instance may have forwarded a copy: to forward this one would
-      // move the flow, and to refuse it would be untrue.
-      if (held->is_stale || flows_.Find(held->hash) != nullptr) continue;
+      if (flows_.Find(held->hash) != nullptr) continue;
       const service_route* route = routes_.Find(held->packet.service);
       steer_decision decision;
       if (route == nullptr) {
--- a/poplarstair/steering/service_admission.cc
+++ b/poplarstair/steering/service_admission.cc
@@ -247,7 +247,7 @@
   taken.verdict = decision->verdict;
   auto held = held_.extract(taken.hash);
   taken.packet = held.mapped().packet;
-  taken.is_stale =
+  taken.is_late =
       now >= held.mapped().came_at + TimeToNextCopy(taken.packet.copy);
   taken.bytes = std::move(held.mapped().bytes);
   return taken;
--- a/poplarstair/steering/service_admission.h
+++ b/poplarstair/steering/service_admission.h
@@ -63,9 +63,9 @@
   std::vector<uint8_t> bytes;
   std::string service;
   admission_verdict verdict = admission_verdict::kForward;
-  /// The client has sent its packet again meanwhile, perhaps to another
-  /// instance, which may have forwarded it.
-  bool is_stale = false;
+  /// The client has sent its packet again meanwhile; another instance that got
+  /// the copy has reset the flow.
+  bool is_late = false;
 };
 
 /// Deterministic: it reads no clock and does no I/O.
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -401,9 +401,9 @@
   cr_assert_eq(site.reset[0].caller.port, 10);
 }
 
-// A copy of a held packet may have reached another instance: a late refusal
-// reset a flow that was open there.
-Test(flow_steering, says_nothing_of_held_flows_whose_client_has_gone_on) {
+// The client's copy may have reached another instance, which has reset the flow;
+// if the client still waits, it is told at once.
+Test(flow_steering, a_held_flow_that_is_decided_too_late_is_refused) {
   steering_site site;
   site.LimitRoom();
   site.FillService();
@@ -411,8 +411,9 @@
   // The instance stood still until the client's next copy was due.
   site.now += milliseconds(300);
   site.steering.OnHandshakeTimer(site.now);
-  cr_assert(site.reset.empty());
+  cr_assert_eq(site.reset.size(), 1u);
   cr_assert(site.sent_again.empty());
+  cr_assert_eq(site.Open(10, 1).verdict, steer_verdict::kReset);
 }
 
 // The flow opened through another instance while it was held here.
