A starting instance does not use an entry that another writer has overwritten

What callers would see: open flows of a live server go to another address, and are reset there (FLOW), while another writer's entry of an unknown service stands under the server's own name and an instance starts.

An instance that had seen the server's own entry kept its address; one that started meanwhile took the foreign one, since open flows outlive the name of their service.

Change: an entry of an unknown service is used for open flows once it has stood for as long as a lapsed entry may take to come back (2.5 s); until then their packets are dropped, as those of unknown servers are.

Before: flow_steering an_overwritten_entry_is_not_used_until_it_has_stood failed. After: steering_test 100 of 100.

--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -555,6 +555,13 @@
                                uint64_t hash) {
     const server_row named = servers_.FindCookie(packet.cookie);
     if (named == kNoServer) return OnUnknownCookie(now, packet);
+    // A new configuration may have dropped the service, or another writer may
+    // have overwritten the entry until its server writes again.
+    const known_server& server = servers_.At(named);
+    if (!server.is_service_known &&
+        now - server.known_since < settings_.gone_to_reset) {
+      return {steer_verdict::kDrop, steer_reason::kUnknownCookie, {}, {}, 0};
+    }
     flow_record& record = flows_.Add(hash);
     record.row = named;
     if (const auto kind = KindOf(packet)) record.kind = *kind;
--- a/unit_tests/steering/server_entries_test.cc
+++ b/unit_tests/steering/server_entries_test.cc
@@ -6,7 +6,7 @@
 // Another writer's copy of an entry, named "old-" and the server's id, took
 // over the server's row: its open flows went to the copy's address.
 Test(flow_steering, a_copied_entry_moves_no_flow_of_the_server) {
-  for (const char* service : {"s", "unknown"}) {
+  for (const char *service : {"s", "unknown"}) {
     steering_site site;
     const steer_decision open = site.OpenAndAnswer(1);
     const std::string name = std::to_string(open.server.Value());
@@ -40,7 +40,7 @@
   const steer_decision open = site.OpenAndAnswer(1);
   const std::string name = std::to_string(open.server.Value());
   const server_entry own = site.known.servers.at(name);
-  server_entry& entry = site.known.servers.at(name);
+  server_entry &entry = site.known.servers.at(name);
   entry.service = "unknown";
   entry.address = endpoint::Parse("10.0.0.9:80");
   site.Publish();
@@ -51,6 +51,24 @@
   cr_assert_eq(site.Data(1, open.cookie, 101, 1).destination, open.destination);
 }
 
+// The same at an instance that starts meanwhile: it knows no better address.
+Test(flow_steering, an_overwritten_entry_is_not_used_until_it_has_stood) {
+  steering_site before;
+  const server_entry own = before.known.servers.at("1");
+  server_entry foreign = own;
+  foreign.service = "unknown";
+  foreign.address = endpoint::Parse("10.0.0.9:80");
+  catalog overwritten = before.known;
+  overwritten.servers["1"] = foreign;
+  steering_site started(overwritten);
+  const flow_cookie cookie = steering_site::Cookie(1);
+  started.Pass(milliseconds(1500));
+  cr_assert_eq(started.Data(7, cookie, 1, 1).verdict, steer_verdict::kDrop);
+  started.known.servers["1"] = own;
+  started.Publish();
+  cr_assert_eq(started.Data(7, cookie, 1, 1).destination, own.address);
+}
+
 // An entry of a service that the configuration does not name, with a live
 // server's address and a later start: two lost handshakes were then enough to
 // reset the server's open flows, and nothing tested the server any more.
@@ -78,7 +96,7 @@
   catalog renamed = site.known;
   renamed.routes.version = 2;
   renamed.routes.services = {{"next", 0, 0}};
-  for (service_route& route : renamed.routes.routes) {
+  for (service_route &route : renamed.routes.routes) {
     route.services = {{"next", 1}};
   }
   site.known = renamed;
@@ -95,11 +113,11 @@
 
 /// An entry of another writer beside those of servers 1 to 4, under a name that
 /// may hold the digits of one of them.
-void AddForeignEntry(random_source& random,
-                     const std::map<std::string, server_entry>& own,
-                     catalog& known) {
-  constexpr const char* kPrefixes[] = {"a-", "z-", "m-0", "b-0"};
-  constexpr const char* kServices[] = {"s", "other", "unknown", ""};
+void AddForeignEntry(random_source &random,
+                     const std::map<std::string, server_entry> &own,
+                     catalog &known) {
+  constexpr const char *kPrefixes[] = {"a-", "z-", "m-0", "b-0"};
+  constexpr const char *kServices[] = {"s", "other", "unknown", ""};
   const uint64_t like = RandomBelow(random, 4) + 1;
   const bool has_like_digits = RandomBelow(random, 3) > 0;
   server_entry entry = own.at("m-" + std::to_string(like));
@@ -109,14 +127,15 @@
   if (RandomBelow(random, 2) == 0) {
     entry.address = endpoint::Parse("10.0.0.9:80");
   }
-  if (RandomBelow(random, 2) == 0) entry.born_ms = 5000;
+  if (RandomBelow(random, 2) == 0)
+    entry.born_ms = 5000;
   // A complete copy can say that its server drains; that is believed.
   entry.state = server_state::kReady;
   known.servers[kPrefixes[RandomBelow(random, 4)] + std::to_string(digits)] =
       entry;
 }
 
-}  // namespace
+} // namespace
 
 // Rule: an entry says nothing of a server of another name. Entries with a live
 // server's digits moved its flows (review/2), took its address (review/4) and
@@ -126,11 +145,12 @@
     random_source random(seed);
     catalog known = steering_site().known;
     std::map<std::string, server_entry> own_entries;
-    for (const auto& [digits, entry] : known.servers) {
+    for (const auto &[digits, entry] : known.servers) {
       own_entries["m-" + digits] = entry;
     }
     known.servers.clear();
-    if (RandomBelow(random, 2) == 0) known.servers = own_entries;
+    if (RandomBelow(random, 2) == 0)
+      known.servers = own_entries;
     const bool is_first = RandomBelow(random, 2) == 0;
     for (int i = 0; is_first && i < 4; ++i) {
       AddForeignEntry(random, own_entries, known);
@@ -164,9 +184,10 @@
 
 // The others hold: a copy costs a live server nothing.
 Test(flow_steering, a_server_keeps_its_new_flows_beside_a_copy_of_its_entry) {
-  for (const char* service : {"s", "other", "unknown"}) {
+  for (const char *service : {"s", "other", "unknown"}) {
     steering_site site;
-    for (const char* name : {"2", "3", "4"}) site.known.servers.erase(name);
+    for (const char *name : {"2", "3", "4"})
+      site.known.servers.erase(name);
     site.Publish();
     server_entry copy = site.known.servers.at("1");
     copy.service = service;
@@ -198,7 +219,8 @@
   site.Publish();
   // The other servers have work, so that a new flow would go to the silent one.
   for (uint64_t id = 1; id <= 4; ++id) {
-    if (backend_server_id(id) == silent) continue;
+    if (backend_server_id(id) == silent)
+      continue;
     for (uint16_t port = 1; port <= 10; ++port) {
       const auto flow = static_cast<uint16_t>(1000 * id + port);
       site.Data(flow, site.Cookie(id), 1, 1);
@@ -211,7 +233,7 @@
 }
 
 Test(flow_steering, flows_of_a_server_whose_address_is_taken_end_at_once) {
-  for (const endpoint& service : {kFeed, kForms}) {
+  for (const endpoint &service : {kFeed, kForms}) {
     steering_site site;
     const steer_decision open = site.OpenAndAnswer(2, service);
     site.now += milliseconds(500);
