A port that is used again belongs to its last flow

Cause: an instance knew flows by addresses and ports. The same memory sent packets of an open flow to the earlier flow's server when the port had been used again through another instance, and let a late packet of the earlier flow open the new one there.

Change: an opening packet is a copy only of one with the same sequence number; any other one is placed anew.

--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -291,10 +291,10 @@
   steer_decision OnOpening(time_point now, const segment& packet, uint64_t hash,
                            std::span<const uint8_t> bytes) {
     flow_record* record = flows_.Find(hash);
-    const bool is_placed =
-        record != nullptr && record->opening == packet.sequence;
-    if (record != nullptr && record->is_open) {
-      return Forward(record->row, steer_reason::kOpenFlow);
+    const bool is_placed = record != nullptr && !record->is_finished &&
+                           record->opening == packet.sequence;
+    if (is_placed && record->is_open) {
+      return {steer_verdict::kDrop, steer_reason::kOpenFlow, {}, {}, 0};
     }
     if (complete_since_ == kNever || IsHolding(now)) {
       return {steer_verdict::kDrop, steer_reason::kNotReady, {}, {}, 0};
@@ -309,13 +309,14 @@
       return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
     }
     if (packet.copy > 0) return RefuseCopy(now, packet);
+    // The client uses the port again: the earlier flow has ended.
+    flows_.Close(now, hash);
     const service_route* route = routes_.Find(packet.service);
     const std::string* service =
         route == nullptr ? nullptr : ServiceFor(*route, hash);
     if (service == nullptr) {
       return Refuse(now, packet, steer_reason::kUnknownRoute);
     }
-    flows_.Close(now, hash);
     const admission_verdict verdict =
         Admit(now, packet, hash, bytes, *route, service);
     if (verdict == admission_verdict::kHold) {
@@ -531,6 +532,9 @@
                             uint64_t hash) {
     flow_record* record = flows_.Find(hash);
     if (record == nullptr) return OnUnknownFlow(now, packet, hash);
+    if (!flow_tracker::IsOfFlow(*record, packet)) {
+      return OnOtherFlow(now, packet, hash, *record);
+    }
     return OnKnownFlow(now, packet, hash, *record, steer_reason::kOpenFlow);
   }
 
@@ -568,6 +572,23 @@
     return OnKnownFlow(now, packet, hash, record, steer_reason::kCookie);
   }
 
+  /// The client has used the port for two flows, of which `record` is one.
+  steer_decision OnOtherFlow(time_point now, const segment& packet,
+                             uint64_t hash, const flow_record& record) {
+    const server_row named = servers_.FindCookie(packet.cookie);
+    // A late packet of the flow before the one that waits for its handshake,
+    // or a reset, must not end what is recorded.
+    const bool is_stray = (record.opening && !record.is_open) || packet.resets;
+    if (is_stray && named != kNoServer) {
+      return Forward(named, steer_reason::kCookie);
+    }
+    if (is_stray) {
+      return {steer_verdict::kDrop, steer_reason::kUnknownCookie, {}, {}, 0};
+    }
+    flows_.Close(now, hash);
+    return OnUnknownFlow(now, packet, hash);
+  }
+
   std::optional<request_kind> KindOf(const segment& packet) const {
     const service_route* route = routes_.Find(packet.service);
     if (route == nullptr) return std::nullopt;
--- a/poplarstair/steering/flow_tracker.cc
+++ b/poplarstair/steering/flow_tracker.cc
@@ -40,6 +40,13 @@
   flows_.erase(it);
 }
 
+bool flow_tracker::IsOfFlow(const flow_record& record, const segment& packet) {
+  // A client chooses a new sequence number for each flow, and sends no further
+  // than this without an acknowledgement.
+  const uint32_t distance = packet.sequence - record.next_sequence;
+  return distance <= kUnacknowledgedBytes || -distance <= kUnacknowledgedBytes;
+}
+
 void flow_tracker::OnPacket(time_point now, const segment& packet,
                             uint64_t hash, flow_record& record) {
   if (!record.is_open) Open(now, packet, record);
--- a/poplarstair/steering/flow_tracker.h
+++ b/poplarstair/steering/flow_tracker.h
@@ -79,6 +79,9 @@
   void Close(time_point now, uint64_t hash);
   size_t Size() const { return flows_.size(); }
 
+  /// True if the packet belongs to the recorded flow, and not to an earlier or
+  /// a later one of the same port.
+  static bool IsOfFlow(const flow_record& record, const segment& packet);
   /// A packet of the flow that is not its first one has come; the flow opens if
   /// it is not open yet.
   void OnPacket(time_point now, const segment& packet, uint64_t hash,
--- a/unit_tests/steering/flow_opening_test.cc
+++ b/unit_tests/steering/flow_opening_test.cc
@@ -1,4 +1,7 @@
 // The packets that open a flow, and their copies.
+#include <algorithm>
+#include <iterator>
+
 #include "unit_tests/steering/steering_site.h"
 
 using namespace poplarstair;
@@ -192,3 +195,153 @@
   site.Pass(milliseconds(200));
   cr_assert(site.sent_again.empty());
 }
+
+namespace {
+
+/// A client that uses one port for flow after flow, each time through whichever
+/// instance, and ends its flows in different ways.
+class port_user {
+ public:
+  explicit port_user(uint32_t seed) : seed_(seed), random_(seed) {
+    for (int i = 0; i < 3; ++i) {
+      instances_.push_back(std::make_unique<steering_site>());
+    }
+    known_ = instances_[0]->known;
+  }
+
+  /// One flow, from its opening packet to its end.
+  void UsePort() {
+    isn_ = static_cast<uint32_t>(random_());
+    service_ = RandomBelow(random_, 4) == 0 ? kForms : kFeed;
+    const steer_decision placed = Send(Packet(0, true), Any());
+    if (placed.verdict != steer_verdict::kForward) return;
+    cr_assert(TakesNewFlows(placed),
+              "a server that leaves got a new flow, seed %u", seed_);
+    cookie_ = placed.cookie;
+    uint32_t sent = 1;
+    const uint64_t requests = RandomBelow(random_, 4);
+    for (uint64_t i = 0; i <= requests; ++i) {
+      if (RandomBelow(random_, 3) == 0) Wait(RandomBelow(random_, 3000));
+      segment data = Packet(sent, false);
+      data.payload_bytes = static_cast<uint16_t>(RandomBelow(random_, 500));
+      data.acknowledged = static_cast<uint32_t>(100 * i);
+      // Most packets take the same way; some come after a change of it.
+      const steer_decision next = Send(data, RandomBelow(random_, 4) ? 0 : 1);
+      cr_assert_eq(next.verdict, steer_verdict::kForward);
+      cr_assert_eq(next.destination, placed.destination,
+                   "the flow has moved, seed %u", seed_);
+      sent += data.payload_bytes;
+    }
+    segment last = Packet(sent, false);
+    const uint64_t way = RandomBelow(random_, 3);
+    last.finishes = way == 0;
+    last.resets = way == 1;
+    if (way < 2) Send(last, Any());
+  }
+
+  /// A pause, and a change of what takes new flows.
+  void Pause() {
+    constexpr uint64_t kPauses[] = {0, 10, 500, 3000, 16'000};
+    Wait(kPauses[RandomBelow(random_, 5)]);
+    auto& servers = known_.servers;
+    auto& entry = std::next(servers.begin(), RandomBelow(random_, 4))->second;
+    switch (RandomBelow(random_, 4)) {
+      case 0:
+        entry.state = server_state::kDraining;
+        break;
+      case 1:
+        entry.state = server_state::kReady;
+        break;
+      case 2:
+        known_.withdrawn_domains = {entry.failure_domain};
+        break;
+      default:
+        known_.withdrawn_domains.clear();
+    }
+    for (const auto& instance : instances_) {
+      instance->known = known_;
+      instance->Publish();
+    }
+  }
+
+ private:
+  segment Packet(uint32_t offset, bool opens) const {
+    segment packet = steering_site::Packet(1, service_);
+    packet.opens_flow = opens;
+    packet.sequence = isn_ + offset;
+    packet.cookie = opens ? 0 : cookie_;
+    return packet;
+  }
+
+  size_t Any() { return RandomBelow(random_, instances_.size()); }
+
+  steer_decision Send(const segment& packet, size_t instance) {
+    return instances_[instance]->Send(packet);
+  }
+
+  void Wait(uint64_t ms) {
+    for (const auto& instance : instances_) instance->Pass(milliseconds(ms));
+  }
+
+  bool TakesNewFlows(const steer_decision& placed) const {
+    const server_entry& entry =
+        known_.servers.at(std::to_string(placed.server.Value()));
+    const auto& withdrawn = known_.withdrawn_domains;
+    return entry.state == server_state::kReady &&
+           std::find(withdrawn.begin(), withdrawn.end(),
+                     entry.failure_domain) == withdrawn.end();
+  }
+
+  const uint32_t seed_;
+  random_source random_;
+  std::vector<std::unique_ptr<steering_site>> instances_;
+  catalog known_;
+  uint32_t isn_ = 0;
+  endpoint service_;
+  flow_cookie cookie_ = 0;
+};
+
+}  // namespace
+
+// A packet that opened a flow from the port of an earlier one went to that
+// flow's server, which drained (review/9); packets of the later flow went to
+// the earlier one's server at an instance that had not seen the port used
+// again.
+Test(flow_steering, a_port_that_is_used_again_belongs_to_its_last_flow) {
+  for (uint32_t seed = 1; seed <= 300; ++seed) {
+    port_user user(seed);
+    for (int i = 0; i < 10; ++i) {
+      user.UsePort();
+      user.Pause();
+    }
+  }
+}
+
+// The old flow has not ended for all that this instance knows.
+Test(flow_steering, a_new_flow_of_a_used_port_is_no_copy_of_the_old_one) {
+  for (const uint32_t copy : {0U, 1U}) {
+    steering_site site;
+    const steer_decision old = site.OpenAndAnswer(1);
+    site.Data(1, old.cookie, 1, 1);
+    site.known.servers.at(std::to_string(old.server.Value())).state =
+        server_state::kDraining;
+    site.Publish();
+    segment packet = steering_site::Packet(1, kFeed);
+    packet.opens_flow = true;
+    packet.sequence = 0x80000000;
+    packet.copy = copy;
+    const steer_decision placed = site.Send(packet);
+    if (copy > 0) {
+      cr_assert_eq(placed.reason, steer_reason::kUnknownOpening);
+      continue;
+    }
+    cr_assert_eq(placed.verdict, steer_verdict::kForward);
+    cr_assert_neq(placed.server, old.server);
+    // A late packet of the old flow does not open the new one.
+    cr_assert_eq(site.Data(1, old.cookie, 101, 1).server, old.server);
+    packet.opens_flow = false;
+    packet.sequence += 1;
+    packet.cookie = placed.cookie;
+    cr_assert_eq(site.Send(packet).server, placed.server);
+  }
+}
