A domain's servers count as cold until they are known as of its return

Cause: the collections of the catalog are followed one by one. The end of a withdrawal was put in force with servers as of an earlier revision, up to 300 ms old since the follower gathers changes, and reports confirmed before the end were not known yet.

Change: the replica notes the revision by which a domain was not withdrawn any more; until the servers are known as of it, those of the domain count as cold. The follower asks for that at once. Answers without news raise the revision.

--- a/poplarstair/catalog/catalog.h
+++ b/poplarstair/catalog/catalog.h
@@ -145,6 +145,9 @@
   std::map<std::string, server_entry> servers;
   /// Names of failure domains whose backend servers get nothing new.
   std::vector<std::string> withdrawn_domains;
+  /// Domains that are not withdrawn any more, while the servers are known only
+  /// as of an earlier revision: they may have become cold since.
+  std::vector<std::string> unconfirmed_domains;
 };
 
 }  // namespace poplarstair
--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -243,9 +243,13 @@
   // An older state than a peer has handed over; the watch will catch up.
   if (revision < Revision(what)) return false;
   if (what == collection::kServers) catalog_.servers.clear();
-  if (what == collection::kWithdrawals) catalog_.withdrawn_domains.clear();
+  std::vector<std::string> withdrawn;
+  if (what == collection::kWithdrawals) {
+    withdrawn = std::exchange(catalog_.withdrawn_domains, {});
+  }
   const object_revisions before = ClearObjects(what);
   for (const store_object& object : objects) Apply(what, object, revision);
+  NoteReturned(withdrawn, revision);
   NoteRemoved(what, before, revision);
   SetRevision(what, revision);
   needs_own_reading_[static_cast<size_t>(what)] = false;
@@ -256,14 +260,45 @@
                              store_revision revision,
                              const std::vector<store_object>& objects) {
   if (revision <= Revision(what)) return false;
+  const std::vector<std::string> withdrawn = catalog_.withdrawn_domains;
   for (const store_object& object : objects) Apply(what, object, revision);
+  NoteReturned(withdrawn, revision);
   SetRevision(what, revision);
   return true;
 }
 
-void catalog_replica::Raise(collection what, store_revision revision) {
-  if (Revision(what) != 0 && revision > Revision(what)) {
-    SetRevision(what, revision);
+bool catalog_replica::Raise(collection what, store_revision revision) {
+  const bool is_whole = !needs_whole_[static_cast<size_t>(what)];
+  if (Revision(what) == 0 || revision <= Revision(what) || !is_whole) {
+    return false;
+  }
+  const size_t before = catalog_.unconfirmed_domains.size();
+  SetRevision(what, revision);
+  return catalog_.unconfirmed_domains.size() != before;
+}
+
+void catalog_replica::SetRevision(collection what, store_revision revision) {
+  revisions_[static_cast<size_t>(what)] = revision;
+  UpdateUnconfirmed();
+}
+
+void catalog_replica::NoteReturned(const std::vector<std::string>& before,
+                                   store_revision revision) {
+  const auto& withdrawn = catalog_.withdrawn_domains;
+  for (const std::string& domain : before) {
+    if (!std::binary_search(withdrawn.begin(), withdrawn.end(), domain)) {
+      returned_at_[domain] = revision;
+    }
+  }
+}
+
+void catalog_replica::UpdateUnconfirmed() {
+  const store_revision known = Revision(collection::kServers);
+  std::erase_if(returned_at_,
+                [known](const auto& item) { return item.second <= known; });
+  catalog_.unconfirmed_domains.clear();
+  for (const auto& [domain, revision] : returned_at_) {
+    catalog_.unconfirmed_domains.push_back(domain);
   }
 }
 
@@ -486,9 +521,12 @@
       catalog_.servers = std::move(servers);
       break;
     }
-    case collection::kWithdrawals:
-      catalog_.withdrawn_domains = fields.withdrawn_domains;
+    case collection::kWithdrawals: {
+      const std::vector<std::string> before =
+          std::exchange(catalog_.withdrawn_domains, fields.withdrawn_domains);
+      NoteReturned(before, fields.revision);
       break;
+    }
   }
   const object_revisions before = ClearObjects(what);
   for (const object_fields& o : fields.objects) {
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -55,8 +55,9 @@
   content_digest Digest(collection what) const {
     return digests_[static_cast<size_t>(what)];
   }
-  /// The content is also the state of this later revision.
-  void Raise(collection what, store_revision revision);
+  /// The content is also the state of this later revision. True if a domain's
+  /// servers are confirmed by that.
+  bool Raise(collection what, store_revision revision);
   /// True if every collection is known.
   bool IsComplete() const;
   /// True if the collection came from an instance with an earlier version of
@@ -85,14 +86,20 @@
   bool ImportChanges(time_point now, const collection_fields& fields);
   bool TakeRoutes(const route_table& routes);
   void LogUnread(const route_table& routes);
-  void SetRevision(collection what, store_revision revision) {
-    revisions_[static_cast<size_t>(what)] = revision;
-  }
+  void SetRevision(collection what, store_revision revision);
+  /// Notes the domains that were withdrawn before and are not any more, as of
+  /// the revision.
+  void NoteReturned(const std::vector<std::string>& before,
+                    store_revision revision);
+  /// Updates catalog::unconfirmed_domains.
+  void UpdateUnconfirmed();
 
   const log_hook log_;
   catalog catalog_;
   std::array<store_revision, kCollections> revisions_{};
   std::array<content_digest, kCollections> digests_{};
+  /// By which revision domains were not withdrawn any more.
+  std::map<std::string, store_revision> returned_at_;
   /// Revision of each object.
   std::array<object_revisions, kCollections> objects_;
   /// Servers that are gone, with the revision by which they were.
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -67,6 +67,13 @@
     CallAgain();
   }
 
+  void Refresh() {
+    const bool is_between_lists =
+        phase_ == follow_phase::kWatching || phase_ == follow_phase::kPausing;
+    if (!is_following_ || !is_between_lists || is_lost_) return;
+    Watch(settings_.lost_wait);
+  }
+
   void OnReply(time_point now, store_reply reply) {
     if (reply.id != awaited_ || awaited_ == 0) return;
     awaited_ = 0;
@@ -129,11 +136,15 @@
   }
 
   void Watch() {
+    Watch(IsCurrent() ? settings_.WatchWait() : settings_.lost_wait);
+  }
+
+  void Watch(duration wait) {
     phase_ = follow_phase::kWatching;
     store_request request;
     request.operation = store_operation::kWatch;
     request.revision = revision_;
-    request.wait = IsCurrent() ? settings_.WatchWait() : settings_.lost_wait;
+    request.wait = wait;
     request.timeout = request.wait + settings_.watch_answer_time;
     Send(std::move(request));
   }
@@ -187,7 +198,10 @@
   void OnEvents(time_point now, store_reply reply) {
     confirmed_at_ = now;
     revision_ = std::max(revision_, reply.revision);
-    if (reply.objects.empty()) return Watch();
+    if (reply.objects.empty()) {
+      actions_.confirmed(revision_);
+      return Watch();
+    }
     phase_ = follow_phase::kPausing;
     resume_at_ = now + settings_.gather_time;
     actions_.changed(revision_, std::move(reply.objects));
@@ -249,6 +263,7 @@
 void store_follower::Stop() { impl_->Stop(); }
 void store_follower::Restart() { impl_->Restart(); }
 void store_follower::Reload() { impl_->Reload(); }
+void store_follower::Refresh() { impl_->Refresh(); }
 void store_follower::OnReply(time_point now, store_reply reply) {
   impl_->OnReply(now, std::move(reply));
 }
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -54,6 +54,8 @@
     std::function<void(store_revision, std::vector<store_object>)> replaced;
     /// Single changes up to the revision.
     std::function<void(store_revision, std::vector<store_object>)> changed;
+    /// Nothing has changed up to the revision.
+    std::function<void(store_revision)> confirmed;
     log_hook log;
   };
 
@@ -77,6 +79,10 @@
   /// from `known`.
   void Rewatch(store_revision known);
 
+  /// Asks the store at once whether anything has changed, if it is followed and
+  /// was not lost: the answer to a watch that waits may be on its way.
+  void Refresh();
+
   void OnReply(time_point now, store_reply reply);
   void OnTick(time_point now);
 
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -93,7 +93,7 @@
     if (digest.wants_reply && !is_stopping_) {
       Send(now, {digest.sender}, digest.failure_domain);
     }
-    RaiseRevisions(digest);
+    RaiseRevisions(now, digest);
     if (start_.IsAwaiting()) OnStartAnswer(now, digest);
     FetchNewer(now);
     UpdateConfirmed(now);
@@ -356,6 +356,9 @@
         OnCatalogChange(now_, true);
       }
     };
+    result.confirmed = [this, what](store_revision revision) {
+      if (replica_.Raise(what, revision)) OnCatalogChange(now_, true);
+    };
     return result;
   }
 
@@ -369,12 +372,14 @@
   }
 
   /// Equal content is also the state of the later of two revisions.
-  void RaiseRevisions(const peer_digest& digest) {
+  void RaiseRevisions(time_point now, const peer_digest& digest) {
+    bool is_confirmed = false;
     for (const collection what : kAllCollections) {
-      if (digest.contents[Index(what)] == replica_.Digest(what)) {
-        replica_.Raise(what, digest.revisions[Index(what)]);
-      }
+      if (digest.contents[Index(what)] != replica_.Digest(what)) continue;
+      const store_revision revision = digest.revisions[Index(what)];
+      if (replica_.Raise(what, revision)) is_confirmed = true;
     }
+    if (is_confirmed) OnCatalogChange(now, false);
   }
 
   /// Oldest confirmation over the collections, by the own calls alone.
@@ -394,6 +399,9 @@
     // Instances that do not follow the store learn of the change here, one from
     // the other. Other domains have followers of their own.
     Send(now, peers_.ChangeTargets(from_store), settings_.peers.failure_domain);
+    if (!replica_.Current().unconfirmed_domains.empty()) {
+      followers_[Index(collection::kServers)]->Refresh();
+    }
   }
 
   void UpdateConfirmed(time_point now) {
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -459,7 +459,7 @@
   bool MayOpen(time_point now, const service_route& route,
                const flow_record& record) const {
     const known_server& server = servers_.At(record.row);
-    const bool is_cold = server.cold_until > now;
+    const bool is_cold = server.IsCold(now);
     return server.TakesNewFlows() && (!is_cold || record.is_placed_cold) &&
            std::any_of(route.services.begin(), route.services.end(),
                        [&server](const weighted_service& s) {
@@ -472,8 +472,8 @@
                       server_row row) const {
     const auto is_usable = [this, now, row](server_row other) {
       const known_server& server = servers_.At(other);
-      return other != row && server.TakesNewFlows() &&
-             server.cold_until <= now && estimates_.TakesFlow(now, other);
+      return other != row && server.TakesNewFlows() && !server.IsCold(now) &&
+             estimates_.TakesFlow(now, other);
     };
     return std::any_of(route.services.begin(), route.services.end(),
                        [this, &is_usable](const weighted_service& s) {
--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -80,6 +80,7 @@
   std::vector<rejected_entry> rejected;
   std::vector<bool> is_listed(rows_.size(), false);
   const auto& withdrawn = current.withdrawn_domains;
+  const auto& unconfirmed = current.unconfirmed_domains;
   const auto services = ServicesOf(current.routes);
   for (const auto& [name, entry] : current.servers) {
     const bool is_service_known = services.contains(entry.service);
@@ -100,6 +101,8 @@
     server.is_service_known = is_service_known;
     server.is_withdrawn = std::binary_search(withdrawn.begin(), withdrawn.end(),
                                              entry.failure_domain);
+    server.is_unconfirmed = std::binary_search(
+        unconfirmed.begin(), unconfirmed.end(), entry.failure_domain);
   }
   for (server_row row = 0; row < rows_.size(); ++row) {
     if (!is_listed[row] && rows_[row].gone_at == kNever) {
@@ -141,6 +144,7 @@
       if (other.state == server_state::kDraining) own.state = other.state;
       own.is_withdrawn = own.is_withdrawn || other.is_withdrawn;
       own.cold_until = std::max(own.cold_until, other.cold_until);
+      own.is_unconfirmed = own.is_unconfirmed || other.is_unconfirmed;
     }
   }
 }
--- a/poplarstair/steering/server_set.h
+++ b/poplarstair/steering/server_set.h
@@ -48,10 +48,16 @@
   /// A server that started later has the same address, so this server's process
   /// has ended, though its catalog entry may still exist.
   bool is_address_taken = false;
+  /// The server may have turned cold, or started anew, since its entry was
+  /// confirmed: it counts as cold.
+  bool is_unconfirmed = false;
   /// When the catalog entry was removed; kNever while it exists. The row stays,
   /// since an entry can expire while its server is alive and has open flows.
   time_point gone_at = kNever;
 
+  bool IsCold(time_point now) const {
+    return cold_until > now || is_unconfirmed;
+  }
   bool TakesNewFlows() const {
     return gone_at == kNever && state == server_state::kReady &&
            is_service_known && !is_withdrawn && !has_ambiguous_cookie &&
--- a/poplarstair/steering/service_admission.cc
+++ b/poplarstair/steering/service_admission.cc
@@ -125,7 +125,7 @@
   std::map<std::string_view, double> far_slots;
   for (const server_row row : servers.OfService(info.name)) {
     const known_server& server = servers.At(row);
-    const bool is_usable = server.TakesNewFlows() && server.cold_until <= now &&
+    const bool is_usable = server.TakesNewFlows() && !server.IsCold(now) &&
                            !estimates.IsSilent(row);
     if (!is_usable) continue;
     if (server.failure_domain == domain) {
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -21,6 +21,7 @@
   std::vector<store_revision> replaced;
   std::vector<size_t> replaced_objects;
   std::vector<store_revision> changed;
+  std::vector<store_revision> confirmed;
   store_follower follower{
       collection::kServers,
       settings,
@@ -31,6 +32,7 @@
          replaced_objects.push_back(objects.size());
        },
        [this](store_revision revision, auto) { changed.push_back(revision); },
+       [this](store_revision revision) { confirmed.push_back(revision); },
        [](const log_record&) {}}};
 
   void Answer(time_point now, store_status status, store_revision revision,
@@ -234,3 +236,29 @@
   cr_assert_eq(idle.calls.size(), 1u);
   cr_assert_not(idle.follower.IsFollowing());
 }
+
+// What is known had to wait for a pause or a watch of seconds to be confirmed.
+Test(store_follower, a_refresh_asks_at_once) {
+  for (const bool is_pausing : {false, true}) {
+    followed_store store;
+    store.follower.Follow(40);
+    store.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
+    if (!is_pausing) store.follower.OnTick(kStart + milliseconds(400));
+    const size_t calls = store.calls.size();
+    store.follower.Refresh();
+    cr_assert_eq(store.calls.size(), calls + 1);
+    cr_assert_eq(store.calls.back().revision, 41u);
+    cr_assert_leq(store.calls.back().wait, duration(milliseconds(50)));
+    store.Answer(kStart + milliseconds(500), store_status::kOk, 47);
+    cr_assert_eq(store.confirmed.back(), 47u);
+  }
+}
+
+Test(store_follower, a_refresh_does_not_press_a_store_that_is_lost) {
+  followed_store store;
+  store.follower.Follow(40);
+  store.Answer(kStart, store_status::kNoAnswer, 0);
+  const size_t calls = store.calls.size();
+  store.follower.Refresh();
+  cr_assert_eq(store.calls.size(), calls);
+}
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -2,6 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <map>
+#include <vector>
+
 #include "poplarstair/testing/entry_fleet.h"
 
 using namespace poplarstair;
@@ -525,3 +529,83 @@
                   static_cast<size_t>(seed), load.MostFlows());
   }
 }
+
+namespace {
+
+/// Callers open flows through every instance, each of which counts at its
+/// server while that is cold.
+class flows_at_cold_servers {
+ public:
+  flows_at_cold_servers(entry_fleet& fleet, size_t instances)
+      : fleet_(fleet), instances_(instances) {}
+
+  void TurnCold(uint64_t id) {
+    cold_until_[id] = fleet_.queue.Now() + seconds(2);
+    fleet_.SetServer(id, server_state::kReady, cold_until_[id]);
+  }
+
+  void RunFor(duration length) {
+    const time_point end = fleet_.queue.Now() + length;
+    while (fleet_.queue.Now() < end) {
+      for (size_t i = 0; i < instances_; ++i) {
+        const steer_decision placed = fleet_.OpenAndAnswer(i, ++last_port_);
+        if (placed.verdict != steer_verdict::kForward) continue;
+        const uint64_t id = placed.server.Value();
+        if (fleet_.queue.Now() < cold_until_[id]) {
+          opened_[id].push_back(fleet_.queue.Now());
+        }
+      }
+      fleet_.RunFor(milliseconds(20));
+    }
+  }
+
+  /// Most flows in any second at one server.
+  size_t MostFlows() const {
+    size_t most = 0;
+    for (const auto& [id, opened] : opened_) {
+      size_t first = 0;
+      for (size_t last = 0; last < opened.size(); ++last) {
+        while (opened[last] - opened[first] >= seconds(1)) ++first;
+        most = std::max(most, last + 1 - first);
+      }
+    }
+    return most;
+  }
+
+ private:
+  entry_fleet& fleet_;
+  const size_t instances_;
+  uint16_t last_port_ = 0;
+  std::map<uint64_t, time_point> cold_until_;
+  std::map<uint64_t, std::vector<time_point>> opened_;
+};
+
+}  // namespace
+
+// A domain was taken back while its servers' reports, confirmed before, waited
+// for the next call to the store: they passed for warm ones (review/7).
+Test(entry_instance, a_domain_returns_once_its_cold_servers_are_known) {
+  for (uint32_t seed = 1; seed <= 30; ++seed) {
+    random_source random(seed);
+    entry_fleet fleet(6, 2, seed);
+    for (uint64_t id = 1; id <= 4; ++id) {
+      fleet.SetServer(id, server_state::kReady);
+    }
+    fleet.RunFor(seconds(5));
+    flows_at_cold_servers load(fleet, 6);
+    for (int round = 0; round < 3; ++round) {
+      fleet.store.Put(collection::kWithdrawals, "d0", std::monostate());
+      load.RunFor(seconds(2));
+      for (uint64_t id = 1; id <= 4; ++id) {
+        load.TurnCold(id);
+        load.RunFor(milliseconds(RandomBelow(random, 5)));
+      }
+      load.RunFor(milliseconds(RandomBelow(random, 100)));
+      // Their connections may have gone silent before the news.
+      if (RandomBelow(random, 4) == 0) fleet.SilenceWatches();
+      fleet.store.Delete(collection::kWithdrawals, "d0");
+      load.RunFor(seconds(4));
+    }
+    cr_assert_leq(load.MostFlows(), cold_load::kMostFlows, "seed %u", seed);
+  }
+}
--- a/unit_tests/steering/flow_steering_test.cc
+++ b/unit_tests/steering/flow_steering_test.cc
@@ -401,8 +401,8 @@
   cr_assert_eq(site.reset[0].caller.port, 10);
 }
 
-// The client's copy may have reached another instance, which has reset the flow;
-// if the client still waits, it is told at once.
+// The client's copy may have reached another instance, which has reset the
+// flow; if the client still waits, it is told at once.
 Test(flow_steering, a_held_flow_that_is_decided_too_late_is_refused) {
   steering_site site;
   site.LimitRoom();
--- a/unit_tests/steering/server_entries_test.cc
+++ b/unit_tests/steering/server_entries_test.cc
@@ -127,15 +127,14 @@
   if (RandomBelow(random, 2) == 0) {
     entry.address = endpoint::Parse("10.0.0.9:80");
   }
-  if (RandomBelow(random, 2) == 0)
-    entry.born_ms = 5000;
+  if (RandomBelow(random, 2) == 0) entry.born_ms = 5000;
   // A complete copy can say that its server drains; that is believed.
   entry.state = server_state::kReady;
   known.servers[kPrefixes[RandomBelow(random, 4)] + std::to_string(digits)] =
       entry;
 }
 
-} // namespace
+}  // namespace
 
 // Rule: an entry says nothing of a server of another name. Entries with a live
 // server's digits moved its flows (review/2), took its address (review/4) and
@@ -149,8 +148,7 @@
       own_entries["m-" + digits] = entry;
     }
     known.servers.clear();
-    if (RandomBelow(random, 2) == 0)
-      known.servers = own_entries;
+    if (RandomBelow(random, 2) == 0) known.servers = own_entries;
     const bool is_first = RandomBelow(random, 2) == 0;
     for (int i = 0; is_first && i < 4; ++i) {
       AddForeignEntry(random, own_entries, known);
@@ -186,8 +184,7 @@
 Test(flow_steering, a_server_keeps_its_new_flows_beside_a_copy_of_its_entry) {
   for (const char *service : {"s", "other", "unknown"}) {
     steering_site site;
-    for (const char *name : {"2", "3", "4"})
-      site.known.servers.erase(name);
+    for (const char *name : {"2", "3", "4"}) site.known.servers.erase(name);
     site.Publish();
     server_entry copy = site.known.servers.at("1");
     copy.service = service;
@@ -219,8 +216,7 @@
   site.Publish();
   // The other servers have work, so that a new flow would go to the silent one.
   for (uint64_t id = 1; id <= 4; ++id) {
-    if (backend_server_id(id) == silent)
-      continue;
+    if (backend_server_id(id) == silent) continue;
     for (uint16_t port = 1; port <= 10; ++port) {
       const auto flow = static_cast<uint16_t>(1000 * id + port);
       site.Data(flow, site.Cookie(id), 1, 1);
