A server that answers after a silence is cold until its entry is confirmed

Cause: a server that was silent, took a connection and answered one flow was used as before. Its new entry was in the store, but known up to 300 ms later, as the follower gathers changes after the first of several.

Change: such a server counts as cold until the catalog has been confirmed since, or a flow of before the silence goes on. A watch confirms only after 50 ms, since news of before the call may be on their way. The follower asks again at once after the first news, and gathers only what follows the second; one line of goes_on_from_a_state_that_a_peer_handed_over asked for the pause after the first and now asks for both.

--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -132,9 +132,16 @@
   return e.work.Combined(now, settings_.forget_after, UsualWork(e));
 }
 
-bool server_estimates::OnProgress(time_point now, uint32_t row) {
+bool server_estimates::OnProgress(time_point now, uint32_t row,
+                                  time_point flow_since) {
   estimate& e = rows_[row];
   const bool was_silent = e.is_silent || e.is_on_trial;
+  // A process that has started anew knows no flow of before.
+  if (flow_since <= e.last_progress) {
+    e.answers_since = kNever;
+  } else if (e.is_silent) {
+    e.answers_since = now;
+  }
   if (was_silent) e.silence_ended_at = now;
   e.last_progress = now;
   e.is_on_trial = false;
@@ -227,9 +234,10 @@
   rows_[row].peer_load_at = now;
 }
 
-void server_estimates::OnReachable(time_point /*now*/, uint32_t row) {
+void server_estimates::OnReachable(time_point now, uint32_t row) {
   estimate& e = rows_[row];
   if (!e.is_silent) return;
+  e.answers_since = now;
   ClearSilence(e);
   e.is_on_trial = true;
 }
--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -46,6 +46,9 @@
   /// of one that is still silent has been removed by then.
   duration first_test = std::chrono::milliseconds(400);
   duration longest_test = std::chrono::milliseconds(3600);
+  /// A server's entry is in the store before the server answers; by then the
+  /// store has told of it, if asked.
+  duration store_time = std::chrono::milliseconds(50);
   /// What peers say of a server's load counts this long.
   duration peer_load_age = std::chrono::milliseconds(1500);
 };
@@ -74,9 +77,9 @@
                      std::optional<double> per_slot = 1);
   /// A request that ended without an answer after `waited`.
   void OnRequestDropped(time_point now, uint32_t row, duration waited);
-  /// The caller has got something new from the server. True if the server
-  /// counted as silent before.
-  bool OnProgress(time_point now, uint32_t row);
+  /// The caller has got something new from the server, on a flow that has been
+  /// known since `flow_since`. True if the server counted as silent before.
+  bool OnProgress(time_point now, uint32_t row, time_point flow_since);
   /// A caller repeats what was sent to the server at `sent_at` for the first
   /// time. True if the server counts as silent from now on.
   bool OnRepeat(time_point now, uint32_t row, uint64_t flow,
@@ -104,6 +107,15 @@
   /// A silent server does not take connections either.
   void OnUnreachable(uint32_t row);
 
+  /// The catalog was confirmed as of `confirmed_at`.
+  void SetConfirmed(time_point confirmed_at) { confirmed_at_ = confirmed_at; }
+  /// True if the server was silent, answers again, and may have started anew:
+  /// its entry has not been confirmed since, and no flow of before goes on.
+  bool MayHaveRestarted(uint32_t row) const {
+    const time_point since = rows_[row].answers_since;
+    return since != kNever && confirmed_at_ < since + settings_.store_time;
+  }
+
   /// A new flow was sent to the server.
   void OnPlaced(time_point now, uint32_t row);
 
@@ -182,6 +194,8 @@
     time_point unanswered_at{};
     time_point last_progress = time_point{};
     time_point silence_ended_at = time_point{};
+    /// When it answered again; kNever if it is known to be the same process.
+    time_point answers_since = kNever;
     /// Flows that wait in vain since the last progress.
     std::array<uint64_t, kMaxWitnesses> waiting_flows{};
     uint8_t waiting = 0;
@@ -220,6 +234,7 @@
 
   const estimate_settings settings_;
   std::vector<estimate> rows_;
+  time_point confirmed_at_{};
   /// Mean request time of all servers, in microseconds; 0 if unknown.
   double usual_time_ = 0;
   /// Mean work time of each service, in microseconds; 0 if unknown.
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -25,19 +25,19 @@
         actions_(std::move(actions)),
         last_call_(kCallsPerCollection * (1 + static_cast<uint64_t>(what))) {}
 
-  void Load() {
+  void Load(time_point now) {
     if (phase_ != follow_phase::kStopped) return;
     pause_ = settings_.first_pause;
-    CallAgain();
+    CallAgain(now);
   }
 
-  void Follow(store_revision known) {
+  void Follow(time_point now, store_revision known) {
     is_following_ = true;
     if (phase_ != follow_phase::kStopped) return;
     revision_ = known;
     is_current_ = false;
     pause_ = settings_.first_pause;
-    CallAgain();
+    CallAgain(now);
   }
 
   void Stop() {
@@ -46,32 +46,32 @@
     awaited_ = 0;
   }
 
-  void Rewatch(store_revision known) {
+  void Rewatch(time_point now, store_revision known) {
     if (phase_ != follow_phase::kWatching) return;
     revision_ = std::max(revision_, known);
     is_current_ = false;
-    Watch();
+    Watch(now);
   }
 
-  void Restart() {
+  void Restart(time_point now) {
     if (!is_following_) return;
     revision_ = 0;
     confirmed_at_ = time_point{};
-    CallAgain();
+    CallAgain(now);
   }
 
-  void Reload() {
+  void Reload(time_point now) {
     if (phase_ == follow_phase::kListing) return;
     revision_ = 0;
     pause_ = settings_.first_pause;
-    CallAgain();
+    CallAgain(now);
   }
 
-  void Refresh() {
+  void Refresh(time_point now) {
     const bool is_between_lists =
         phase_ == follow_phase::kWatching || phase_ == follow_phase::kPausing;
     if (!is_following_ || !is_between_lists || is_lost_) return;
-    Watch(settings_.lost_wait);
+    Watch(now, settings_.lost_wait);
   }
 
   void OnReply(time_point now, store_reply reply) {
@@ -103,7 +103,7 @@
   }
 
   void OnTick(time_point now) {
-    if (phase_ == follow_phase::kPausing && now >= resume_at_) CallAgain();
+    if (phase_ == follow_phase::kPausing && now >= resume_at_) CallAgain(now);
   }
 
   bool IsFollowing() const { return is_following_; }
@@ -112,17 +112,19 @@
 
   time_point ConfirmedAt(time_point now) const {
     const bool is_waiting = phase_ == follow_phase::kWatching && awaited_ != 0;
-    if (is_waiting && IsCurrent()) return now;
-    return confirmed_at_;
+    if (!is_waiting || !IsCurrent()) return confirmed_at_;
+    // News of before the call may be on its way.
+    const bool has_waited = now - called_at_ >= settings_.lost_wait;
+    return has_waited ? now : confirmed_at_;
   }
 
  private:
-  void CallAgain() {
+  void CallAgain(time_point now) {
     if (revision_ == 0) {
       listed_.clear();
       List("");
     } else {
-      Watch();
+      Watch(now);
     }
   }
 
@@ -135,11 +137,12 @@
     Send(std::move(request));
   }
 
-  void Watch() {
-    Watch(IsCurrent() ? settings_.WatchWait() : settings_.lost_wait);
+  void Watch(time_point now) {
+    Watch(now, IsCurrent() ? settings_.WatchWait() : settings_.lost_wait);
   }
 
-  void Watch(duration wait) {
+  void Watch(time_point now, duration wait) {
+    called_at_ = now;
     phase_ = follow_phase::kWatching;
     store_request request;
     request.operation = store_operation::kWatch;
@@ -192,7 +195,7 @@
     confirmed_at_ = now;
     actions_.replaced(revision_, std::exchange(listed_, {}));
     if (!is_following_) return Stop();
-    Watch();
+    Watch(now);
   }
 
   void OnEvents(time_point now, store_reply reply) {
@@ -200,10 +203,16 @@
     revision_ = std::max(revision_, reply.revision);
     if (reply.objects.empty()) {
       actions_.confirmed(revision_);
-      return Watch();
+      return Watch(now);
+    }
+    const bool is_burst = now - news_at_ < settings_.gather_time;
+    news_at_ = now;
+    if (is_burst) {
+      phase_ = follow_phase::kPausing;
+      resume_at_ = now + settings_.gather_time;
+    } else {
+      Watch(now);
     }
-    phase_ = follow_phase::kPausing;
-    resume_at_ = now + settings_.gather_time;
     actions_.changed(revision_, std::move(reply.objects));
   }
 
@@ -213,7 +222,7 @@
                        .With("collection", NameOf(what_))
                        .With("revision", revision_));
       revision_ = 0;
-      return CallAgain();
+      return CallAgain(now);
     }
     if (!is_lost_) {
       actions_.log(log_record("store_lost", log_level::kWarning)
@@ -247,7 +256,11 @@
   bool is_current_ = false;
   bool is_lost_ = false;
   duration pause_{};
+  /// When the watch under way was called.
+  time_point called_at_{};
   time_point resume_at_{};
+  /// When the last news came.
+  time_point news_at_{};
   time_point confirmed_at_ = time_point{};
 };
 
@@ -257,13 +270,17 @@
     : impl_(
           std::make_unique<impl>(what, settings, random, std::move(actions))) {}
 store_follower::~store_follower() = default;
-void store_follower::Load() { impl_->Load(); }
-void store_follower::Rewatch(store_revision known) { impl_->Rewatch(known); }
-void store_follower::Follow(store_revision known) { impl_->Follow(known); }
+void store_follower::Load(time_point now) { impl_->Load(now); }
+void store_follower::Rewatch(time_point now, store_revision known) {
+  impl_->Rewatch(now, known);
+}
+void store_follower::Follow(time_point now, store_revision known) {
+  impl_->Follow(now, known);
+}
 void store_follower::Stop() { impl_->Stop(); }
-void store_follower::Restart() { impl_->Restart(); }
-void store_follower::Reload() { impl_->Reload(); }
-void store_follower::Refresh() { impl_->Refresh(); }
+void store_follower::Restart(time_point now) { impl_->Restart(now); }
+void store_follower::Reload(time_point now) { impl_->Reload(now); }
+void store_follower::Refresh(time_point now) { impl_->Refresh(now); }
 void store_follower::OnReply(time_point now, store_reply reply) {
   impl_->OnReply(now, std::move(reply));
 }
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -26,9 +26,9 @@
   duration watch_answer_time = std::chrono::milliseconds(700);
   /// Longest wait for a page of a list.
   duration list_timeout = std::chrono::milliseconds(1200);
-  /// Pause after a watch that told something: changes come in bursts, and what
-  /// comes meanwhile is told by one call. Small against the seconds in which
-  /// changes must be in force.
+  /// Pause after the second watch in a row that told something: changes come in
+  /// bursts, and what comes meanwhile is told by one call. Small against the
+  /// seconds in which changes must be in force.
   duration gather_time = std::chrono::milliseconds(300);
   /// Pause after a failed call; doubles with each, up to LongestPause(). All
   /// instances together may call the store at a limited rate.
@@ -64,24 +64,24 @@
   ~store_follower();
 
   /// Lists the collection once, until the store has answered.
-  void Load();
+  void Load(time_point now);
   /// Follows from now on. `known` is the revision of what a peer has handed
   /// over, or 0 to list everything.
-  void Follow(store_revision known);
+  void Follow(time_point now, store_revision known);
   /// Makes no more calls; an answer under way is ignored.
   void Stop();
   /// Drops the call under way and lists anew, e.g. after a pause.
-  void Restart();
+  void Restart(time_point now);
   /// As Load, also if the collection is known or followed: what is known came
   /// from an instance that can't read all of it.
-  void Reload();
+  void Reload(time_point now);
   /// Drops the watch under way, which has missed what a peer knows, and goes on
   /// from `known`.
-  void Rewatch(store_revision known);
+  void Rewatch(time_point now, store_revision known);
 
   /// Asks the store at once whether anything has changed, if it is followed and
   /// was not lost: the answer to a watch that waits may be on its way.
-  void Refresh();
+  void Refresh(time_point now);
 
   void OnReply(time_point now, store_reply reply);
   void OnTick(time_point now);
@@ -92,7 +92,8 @@
   /// True if `id` is the call under way.
   bool Awaits(uint64_t id) const;
   /// When the store last confirmed that nothing is missing: now while a watch
-  /// from a current state is waiting within its time, else the last answer;
+  /// from a current state has waited for long enough that the news of before
+  /// must have come, and not too long; else the last answer;
   /// time_point{} if never.
   time_point ConfirmedAt(time_point now) const;
 
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -82,6 +82,7 @@
   }
 
   void OnDigest(time_point now, std::string_view bytes) {
+    now_ = now;
     const peer_digest digest = DecodeDigest(bytes);
     if (!peers_.OnDigest(now, digest)) return;
     if (digest.failure_domain == settings_.peers.failure_domain) {
@@ -101,6 +102,7 @@
 
   void OnFetched(time_point now, const endpoint& peer, collection what,
                  std::string_view exported) {
+    now_ = now;
     fetching_[Index(what)] = false;
     if (exported.empty()) return OnFetchFailed(now, peer);
     try {
@@ -128,7 +130,7 @@
     steering_.OnPause(now);
     peers_.OnPause(now);
     confirmed_at_ = time_point{};
-    for (const auto& follower : followers_) follower->Restart();
+    for (const auto& follower : followers_) follower->Restart(now);
   }
 
   void OnTick(time_point now) {
@@ -292,7 +294,7 @@
     actions_.log(log_record("catalog_read_anew")
                      .With("collection", NameOf(what))
                      .With("revision", replica_.Revision(what)));
-    followers_[Index(what)]->Reload();
+    followers_[Index(what)]->Reload(now_);
   }
 
   void OnFetchFailed(time_point now, const endpoint& peer) {
@@ -312,7 +314,7 @@
                        .With("instances", peers_.Size() + 1)
                        .With("ms", (now - started_at_).count() / 1000));
       listing_since_ = now;
-      for (const auto& follower : followers_) follower->Load();
+      for (const auto& follower : followers_) follower->Load(now);
     }
     FetchNewer(now);
   }
@@ -400,7 +402,7 @@
     // the other. Other domains have followers of their own.
     Send(now, peers_.ChangeTargets(from_store), settings_.peers.failure_domain);
     if (!replica_.Current().unconfirmed_domains.empty()) {
-      followers_[Index(collection::kServers)]->Refresh();
+      followers_[Index(collection::kServers)]->Refresh(now);
     }
   }
 
@@ -457,7 +459,7 @@
     for (const collection what : kAllCollections) {
       store_follower& follower = *followers_[Index(what)];
       if (should) {
-        follower.Follow(replica_.Revision(what));
+        follower.Follow(now, replica_.Revision(what));
       } else {
         follower.Stop();
       }
@@ -511,7 +513,7 @@
     actions_.log(log_record("watch_overtaken", log_level::kWarning)
                      .With("collection", NameOf(what))
                      .With("revision", replica_.Revision(what)));
-    follower.Rewatch(replica_.Revision(what));
+    follower.Rewatch(now, replica_.Revision(what));
     return false;
   }
 
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -106,6 +106,7 @@
 
   void OnConfirmed(time_point confirmed_at) {
     confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+    estimates_.SetConfirmed(confirmed_at_);
   }
 
   void OnPause(time_point now) {
@@ -274,6 +275,17 @@
     return !has_silent;
   }
 
+  /// True if a server of the service may turn out to be warm within the time
+  /// of the client's next copy.
+  bool HasUnconfirmed(const std::string& service) const {
+    const auto rows = servers_.OfService(service);
+    return std::any_of(rows.begin(), rows.end(), [this](server_row row) {
+      const known_server& server = servers_.At(row);
+      return server.TakesNewFlows() && !estimates_.IsSilent(row) &&
+             (server.is_unconfirmed || estimates_.MayHaveRestarted(row));
+    });
+  }
+
   /// True if every change that has to be in force by now is known.
   bool IsFresh(time_point now) const {
     const service_promises& promises = settings_.promises;
@@ -459,7 +471,7 @@
   bool MayOpen(time_point now, const service_route& route,
                const flow_record& record) const {
     const known_server& server = servers_.At(record.row);
-    const bool is_cold = server.IsCold(now);
+    const bool is_cold = IsCold(now, servers_, estimates_, record.row);
     return server.TakesNewFlows() && (!is_cold || record.is_placed_cold) &&
            std::any_of(route.services.begin(), route.services.end(),
                        [&server](const weighted_service& s) {
@@ -472,7 +484,8 @@
                       server_row row) const {
     const auto is_usable = [this, now, row](server_row other) {
       const known_server& server = servers_.At(other);
-      return other != row && server.TakesNewFlows() && !server.IsCold(now) &&
+      return other != row && server.TakesNewFlows() &&
+             !IsCold(now, servers_, estimates_, other) &&
              estimates_.TakesFlow(now, other);
     };
     return std::any_of(route.services.begin(), route.services.end(),
@@ -507,13 +520,15 @@
     }
     if (choice.row == kNoServer) {
       const bool may_wait =
-          !HasServer(service) && actions_.others_may_serve(now);
+          HasUnconfirmed(service) ||
+          (!HasServer(service) && actions_.others_may_serve(now));
       return Refuse(now, packet, steer_reason::kNoneEligible, may_wait);
     }
     estimates_.OnPlaced(now, choice.row);
     flow_record& record = flows_.Add(hash);
     record.row = choice.row;
     record.opening = packet.sequence;
+    record.known_since = now;
     record.next_sequence = packet.sequence + 1;
     record.is_placed_cold = choice.cold_owners > 0;
     record.kind = route.kind;
@@ -568,6 +583,7 @@
     }
     flow_record& record = flows_.Add(hash);
     record.row = named;
+    record.known_since = now;
     if (const auto kind = KindOf(packet)) record.kind = *kind;
     return OnKnownFlow(now, packet, hash, record, steer_reason::kCookie);
   }
--- a/poplarstair/steering/flow_tracker.cc
+++ b/poplarstair/steering/flow_tracker.cc
@@ -53,7 +53,7 @@
   record.last_seen = now;
   if (IsAfter(packet.acknowledged, record.acknowledged)) {
     record.acknowledged = packet.acknowledged;
-    OnProgress(now, record.row);
+    OnProgress(now, record);
     if (record.has_request) EndRequest(now, hash, record);
   }
   if (packet.payload_bytes > 0) TrackData(now, packet, record, hash);
@@ -75,7 +75,7 @@
   const duration took = now - record.request_at;
   handshake_time_.Observe(took);
   if (!record.is_repeated) handshakes_.OnHandshake(took);
-  OnProgress(now, record.row);
+  OnProgress(now, record);
 }
 
 void flow_tracker::TrackData(time_point now, const segment& packet,
@@ -96,7 +96,7 @@
   }
   record.request_bytes += packet.payload_bytes;
   if (record.request_bytes > kUnacknowledgedBytes) {
-    OnProgress(now, record.row);
+    OnProgress(now, record);
   }
 }
 
@@ -130,9 +130,11 @@
   if (record.is_open) estimates_.OnFlowClosed(record.row);
 }
 
-void flow_tracker::OnProgress(time_point now, server_row row) {
+void flow_tracker::OnProgress(time_point now, const flow_record& record) {
   last_progress_ = now;
-  if (estimates_.OnProgress(now, row)) actions_.answers(row);
+  if (estimates_.OnProgress(now, record.row, record.known_since)) {
+    actions_.answers(record.row);
+  }
 }
 
 void flow_tracker::OnRepeat(time_point now, const flow_record& record,
--- a/poplarstair/steering/flow_tracker.h
+++ b/poplarstair/steering/flow_tracker.h
@@ -46,6 +46,8 @@
   /// When the caller repeated its opening packet last.
   time_point copied_at{};
   time_point last_seen{};
+  /// When it was placed, or first seen here.
+  time_point known_since{};
 };
 
 /// Deterministic: it reads no clock and does no I/O.
@@ -107,7 +109,7 @@
   void EndRequest(time_point now, uint64_t hash, flow_record& record);
   void DropRequest(time_point now, uint64_t hash, flow_record& record);
   void Release(time_point now, uint64_t hash, flow_record& record);
-  void OnProgress(time_point now, server_row row);
+  void OnProgress(time_point now, const flow_record& record);
 
   const hooks actions_;
   server_estimates estimates_;
--- a/poplarstair/steering/server_choice.cc
+++ b/poplarstair/steering/server_choice.cc
@@ -48,7 +48,7 @@
   for (size_t i = 0; i < count; ++i) {
     const server_row row = context.candidates[(first + i) % count];
     if (!IsEligible(now, context, row)) continue;
-    if (context.servers.At(row).IsCold(now)) continue;
+    if (IsCold(now, context.servers, context.estimates, row)) continue;
     ++best.eligible;
     const double wait = context.estimates.ExpectedWaitBehind(
         now, row, context.in_progress(row), context.servers.At(row).slots);
@@ -72,7 +72,7 @@
   for (const server_row row : context.servers.OfService(service)) {
     const known_server& server = context.servers.At(row);
     if (!IsEligible(now, context, row)) continue;
-    if (server.IsCold(now)) {
+    if (IsCold(now, context.servers, context.estimates, row)) {
       if (context.cold_owners(server) > 0) cold.Add(row);
       continue;
     }
--- a/poplarstair/steering/server_choice.h
+++ b/poplarstair/steering/server_choice.h
@@ -33,6 +33,12 @@
   std::function<uint32_t(server_row)> in_progress = nullptr;
 };
 
+/// True if the server is cold, or may be for all that is known.
+inline bool IsCold(time_point now, const server_set& servers,
+                   const server_estimates& estimates, server_row row) {
+  return servers.At(row).IsCold(now) || estimates.MayHaveRestarted(row);
+}
+
 struct server_choice {
   server_row row = kNoServer;
   /// Expected wait in microseconds.
--- a/poplarstair/steering/service_admission.cc
+++ b/poplarstair/steering/service_admission.cc
@@ -9,6 +9,7 @@
 
 #include "poplarstair/core/hash.h"
 #include "poplarstair/steering/client_timing.h"
+#include "poplarstair/steering/server_choice.h"
 
 namespace poplarstair {
 
@@ -125,7 +126,8 @@
   std::map<std::string_view, double> far_slots;
   for (const server_row row : servers.OfService(info.name)) {
     const known_server& server = servers.At(row);
-    const bool is_usable = server.TakesNewFlows() && !server.IsCold(now) &&
+    const bool is_usable = server.TakesNewFlows() &&
+                           !IsCold(now, servers, estimates, row) &&
                            !estimates.IsSilent(row);
     if (!is_usable) continue;
     if (server.failure_domain == domain) {
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -99,8 +99,9 @@
   }
 
   void SetServer(uint64_t id, server_state state,
-                 time_point cold_until = time_point{}) {
+                 time_point cold_until = time_point{}, int64_t born_ms = 0) {
     server_entry server;
+    server.born_ms = born_ms;
     server.cold_until = cold_until;
     server.id = backend_server_id(id);
     server.service = "s";
@@ -173,7 +174,10 @@
   steer_decision OpenAndAnswer(size_t i, uint16_t port) {
     static constexpr uint8_t kBytes[] = {42};
     const steer_decision placed = Open(i, port);
-    if (placed.verdict != steer_verdict::kForward) return placed;
+    if (placed.verdict != steer_verdict::kForward ||
+        servers_down.contains(placed.server.Value())) {
+      return placed;
+    }
     segment packet;
     packet.caller = {ip_address::Parse("100.64.0.7"), port};
     packet.service = endpoint::Parse("198.18.0.1:443");
@@ -232,6 +236,10 @@
   std::function<bool(size_t, size_t)> is_cut = [](size_t, size_t) {
     return false;
   };
+  /// Tests of servers are answered.
+  bool has_server_checks = false;
+  /// Ids of servers whose processes have ended.
+  std::set<uint64_t> servers_down;
   size_t store_calls = 0;
   size_t store_lists = 0;
   size_t digests = 0;
@@ -315,7 +323,15 @@
               instance.OnFetched(queue.Now(), peer, what, exported);
             });
     };
-    hooks.check_server = [](server_row, const endpoint&) {};
+    // Servers are known in the order of their ids, from 1.
+    hooks.check_server = [this, i](server_row row, const endpoint&) {
+      if (!has_server_checks) return;
+      const bool is_reachable = !servers_down.contains(row + 1);
+      Later(i, nodes_[i].get(), kDelay,
+            [this, row, is_reachable](entry_instance& instance) {
+              instance.OnServerChecked(queue.Now(), row, is_reachable);
+            });
+    };
     hooks.send_again = [](std::span<const uint8_t>, const steer_decision&) {};
     hooks.reset = [](const segment&) {};
     return hooks;
--- a/unit_tests/admission/server_estimates_test.cc
+++ b/unit_tests/admission/server_estimates_test.cc
@@ -60,7 +60,7 @@
 
 Test(server_estimates, a_server_that_answers_others_is_not_silent) {
   server_estimates estimates = MakeEstimates();
-  estimates.OnProgress(kStart + milliseconds(100), 0);
+  estimates.OnProgress(kStart + milliseconds(100), 0, kStart);
   for (uint64_t flow = 1; flow <= 9; ++flow) {
     estimates.OnRepeat(kStart + milliseconds(200), 0, flow, kStart);
   }
@@ -80,7 +80,7 @@
   server_estimates estimates = MakeEstimates();
   cr_assert_not(estimates.OnPeerWitnesses(kStart, 0, 1));
   cr_assert(estimates.OnRepeat(kStart + milliseconds(200), 0, 1, kStart));
-  estimates.OnProgress(kStart + milliseconds(300), 0);
+  estimates.OnProgress(kStart + milliseconds(300), 0, kStart);
   cr_assert_not(estimates.OnPeerWitnesses(kStart + milliseconds(400), 0, 9));
   cr_assert_not(estimates.IsSilent(0));
 }
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -46,7 +46,7 @@
 
 Test(store_follower, lists_every_page_then_watches_from_the_first_ones_state) {
   followed_store store;
-  store.follower.Follow(0);
+  store.follower.Follow(kStart, 0);
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   cr_assert_eq(store.calls.back().after, "a");
   store.Answer(kStart, store_status::kOk, 14, {{"b", false, {}}});
@@ -58,19 +58,26 @@
 
 Test(store_follower, goes_on_from_a_state_that_a_peer_handed_over) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
   store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
   cr_assert_eq(store.changed.at(0), 44u);
+  // What has changed at the same moment is asked for at once.
+  cr_assert_eq(store.calls.size(), 2u);
+  cr_assert_eq(store.calls.back().revision, 44u);
   // Changes come in bursts: one call tells what follows closely.
-  cr_assert_eq(store.calls.size(), 1u);
+  store.Answer(kStart + milliseconds(10), store_status::kOk, 45,
+               {{"b", true, {}}});
+  cr_assert_eq(store.calls.size(), 2u);
+  store.follower.OnTick(kStart + milliseconds(300));
+  cr_assert_eq(store.calls.size(), 2u);
   store.follower.OnTick(kStart + milliseconds(400));
-  cr_assert_eq(store.calls.back().revision, 44u);
+  cr_assert_eq(store.calls.back().revision, 45u);
 }
 
 Test(store_follower, lists_anew_when_the_history_is_gone) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   store.Answer(kStart, store_status::kHistoryGone, 0);
   cr_assert_eq(store.calls.back().operation, store_operation::kList);
 }
@@ -79,7 +86,7 @@
 // return seconds late.
 Test(store_follower, waits_only_briefly_while_the_store_is_lost) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   store.Answer(kStart, store_status::kOk, 40);
   const duration usual = store.calls.back().timeout;
   store.Answer(kStart, store_status::kNoAnswer, 0);
@@ -97,7 +104,7 @@
     follower_settings settings;
     settings.in_force = in_force;
     followed_store store(settings);
-    store.follower.Follow(40);
+    store.follower.Follow(kStart, 40);
     store.Answer(kStart, store_status::kOk, 40);
     // The connection is silent from now on.
     const duration noticed = store.calls.back().timeout;
@@ -119,7 +126,7 @@
 
 Test(store_follower, pauses_longer_after_each_failure_and_never_too_long) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   time_point now = kStart;
   std::vector<duration> pauses;
   for (int i = 0; i < 8; ++i) {
@@ -139,9 +146,9 @@
 
 Test(store_follower, ignores_answers_to_calls_that_it_has_given_up) {
   followed_store store;
-  store.follower.Follow(0);
+  store.follower.Follow(kStart, 0);
   const uint64_t old_call = store.calls.back().id;
-  store.follower.Restart();
+  store.follower.Restart(kStart);
   store.follower.OnReply(kStart, {old_call, store_status::kOk, 9, {}, false});
   cr_assert(store.replaced.empty());
   store.follower.Stop();
@@ -151,7 +158,7 @@
 
 Test(store_follower, is_current_only_while_the_store_answers) {
   followed_store store;
-  store.follower.Follow(0);
+  store.follower.Follow(kStart, 0);
   cr_assert_eq(store.follower.ConfirmedAt(kStart), time_point{});
   store.Answer(kStart, store_status::kOk, 9);
   const time_point later = kStart + std::chrono::seconds(2);
@@ -168,14 +175,14 @@
 Test(store_follower,
      a_watch_from_an_old_state_confirms_nothing_until_answered) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   cr_assert_eq(store.follower.ConfirmedAt(kStart), time_point{});
   cr_assert_leq(store.calls.back().wait, duration(milliseconds(100)));
   store.Answer(kStart, store_status::kOk, 40);
   const time_point later = kStart + milliseconds(300);
   cr_assert_eq(store.follower.ConfirmedAt(later), later);
   // A watch that was overtaken stands for nothing either.
-  store.follower.Rewatch(50);
+  store.follower.Rewatch(kStart, 50);
   cr_assert_eq(store.follower.ConfirmedAt(later), kStart);
 }
 
@@ -183,7 +190,7 @@
 // stand for the answer of the next call.
 Test(store_follower, the_copy_of_a_page_is_no_next_page) {
   followed_store store;
-  store.follower.Follow(0);
+  store.follower.Follow(kStart, 0);
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   cr_assert(store.replaced.empty());
@@ -198,7 +205,7 @@
 // asked for again at once, without end.
 Test(store_follower, a_page_without_names_is_not_asked_for_at_once) {
   followed_store store;
-  store.follower.Follow(0);
+  store.follower.Follow(kStart, 0);
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   store.Answer(kStart, store_status::kOk, 10, {}, true);
   cr_assert_eq(store.calls.size(), 2u);
@@ -208,7 +215,7 @@
 
 Test(store_follower, the_copy_of_a_watchs_answer_tells_nothing) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
   store.follower.OnTick(kStart + milliseconds(400));
   const time_point later = kStart + milliseconds(500);
@@ -221,9 +228,9 @@
 // one can read.
 Test(store_follower, reloads_what_another_instance_has_handed_over) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   store.Answer(kStart, store_status::kOk, 40);
-  store.follower.Reload();
+  store.follower.Reload(kStart);
   cr_assert_eq(store.calls.back().operation, store_operation::kList);
   store.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
   cr_assert_eq(store.replaced.back(), 41u);
@@ -231,7 +238,7 @@
 
   // One that does not follow the store lists once.
   followed_store idle;
-  idle.follower.Reload();
+  idle.follower.Reload(kStart);
   idle.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
   cr_assert_eq(idle.calls.size(), 1u);
   cr_assert_not(idle.follower.IsFollowing());
@@ -241,11 +248,12 @@
 Test(store_follower, a_refresh_asks_at_once) {
   for (const bool is_pausing : {false, true}) {
     followed_store store;
-    store.follower.Follow(40);
+    store.follower.Follow(kStart, 39);
+    store.Answer(kStart, store_status::kOk, 40, {{"a", false, {}}});
     store.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
     if (!is_pausing) store.follower.OnTick(kStart + milliseconds(400));
     const size_t calls = store.calls.size();
-    store.follower.Refresh();
+    store.follower.Refresh(kStart);
     cr_assert_eq(store.calls.size(), calls + 1);
     cr_assert_eq(store.calls.back().revision, 41u);
     cr_assert_leq(store.calls.back().wait, duration(milliseconds(50)));
@@ -256,9 +264,21 @@
 
 Test(store_follower, a_refresh_does_not_press_a_store_that_is_lost) {
   followed_store store;
-  store.follower.Follow(40);
+  store.follower.Follow(kStart, 40);
   store.Answer(kStart, store_status::kNoAnswer, 0);
   const size_t calls = store.calls.size();
-  store.follower.Refresh();
+  store.follower.Refresh(kStart);
   cr_assert_eq(store.calls.size(), calls);
 }
+
+// A watch stood for a current state from its call on: news of before the call
+// were on their way.
+Test(store_follower, a_watch_that_has_just_been_called_confirms_nothing) {
+  followed_store store;
+  store.follower.Follow(kStart, 40);
+  store.Answer(kStart, store_status::kOk, 41);
+  const time_point soon = kStart + milliseconds(20);
+  cr_assert_eq(store.follower.ConfirmedAt(soon), kStart);
+  const time_point later = kStart + milliseconds(100);
+  cr_assert_eq(store.follower.ConfirmedAt(later), later);
+}
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -544,12 +544,24 @@
     fleet_.SetServer(id, server_state::kReady, cold_until_[id]);
   }
 
+  /// The server's process ends, and starts again under its id after `down`: its
+  /// entry is in the store before it answers.
+  void Crash(uint64_t id, duration down) {
+    fleet_.servers_down.insert(id);
+    fleet_.queue.After(down, [this, id] {
+      cold_until_[id] = fleet_.queue.Now() + seconds(2);
+      fleet_.SetServer(id, server_state::kReady, cold_until_[id], ++last_born_);
+      fleet_.servers_down.erase(id);
+    });
+  }
+
   void RunFor(duration length) {
     const time_point end = fleet_.queue.Now() + length;
     while (fleet_.queue.Now() < end) {
       for (size_t i = 0; i < instances_; ++i) {
         const steer_decision placed = fleet_.OpenAndAnswer(i, ++last_port_);
         if (placed.verdict != steer_verdict::kForward) continue;
+        if (fleet_.servers_down.contains(placed.server.Value())) continue;
         const uint64_t id = placed.server.Value();
         if (fleet_.queue.Now() < cold_until_[id]) {
           opened_[id].push_back(fleet_.queue.Now());
@@ -576,6 +588,7 @@
   entry_fleet& fleet_;
   const size_t instances_;
   uint16_t last_port_ = 0;
+  int64_t last_born_ = 1;
   std::map<uint64_t, time_point> cold_until_;
   std::map<uint64_t, std::vector<time_point>> opened_;
 };
@@ -609,3 +622,32 @@
     cr_assert_leq(load.MostFlows(), cold_load::kMostFlows, "seed %u", seed);
   }
 }
+
+// Servers that were silent and answered again passed for warm ones until their
+// new entries, confirmed before, were known (review/8).
+Test(entry_instance, servers_that_start_again_under_their_ids_are_cold) {
+  for (uint32_t seed = 1; seed <= 30; ++seed) {
+    random_source random(seed);
+    entry_fleet fleet(6, 2, seed);
+    for (uint64_t id = 1; id <= 4; ++id) {
+      fleet.SetServer(id, server_state::kReady);
+    }
+    fleet.has_server_checks = true;
+    fleet.RunFor(seconds(5));
+    flows_at_cold_servers load(fleet, 6);
+    for (int round = 0; round < 3; ++round) {
+      load.RunFor(seconds(1));
+      const milliseconds down(400 + RandomBelow(random, 800));
+      for (uint64_t id = 1; id <= 4; ++id) {
+        load.Crash(id, down + milliseconds(RandomBelow(random, 5)));
+      }
+      // Other news come just before, and the next call is due only later.
+      fleet.queue.After(down - milliseconds(RandomBelow(random, 200)), [&] {
+        fleet.SetServer(9, server_state::kDraining);
+        fleet.SetServer(8, server_state::kDraining);
+      });
+      load.RunFor(seconds(5));
+    }
+    cr_assert_leq(load.MostFlows(), cold_load::kMostFlows, "seed %u", seed);
+  }
+}
--- a/unit_tests/steering/server_entries_test.cc
+++ b/unit_tests/steering/server_entries_test.cc
@@ -268,3 +268,30 @@
   }
   cr_assert(used);
 }
+
+// A flow of before the silence goes on only at the same process.
+Test(flow_steering, a_server_that_answers_again_is_cold_until_it_is_confirmed) {
+  for (const bool has_old_flow : {false, true}) {
+    steering_site site;
+    const backend_server_id silent = SilenceServerOf(site, 1);
+    const time_point confirmed = site.now;
+    const flow_cookie cookie = site.Cookie(silent.Value());
+    site.Check(silent, true);
+    if (has_old_flow) site.Data(1, cookie, 101, 900);
+    const auto is_used = [&](uint16_t first) {
+      bool is_found = false;
+      for (uint16_t port = first; port < first + 40; ++port) {
+        const steer_decision placed = site.OpenAndAnswer(port);
+        site.Data(port, placed.cookie, 1, 1);
+        is_found = is_found || placed.server == silent;
+      }
+      return is_found;
+    };
+    cr_assert_eq(is_used(100), has_old_flow);
+    site.steering.OnConfirmed(confirmed + milliseconds(10));
+    cr_assert_eq(is_used(200), has_old_flow);
+    site.now += milliseconds(300);
+    site.steering.OnConfirmed(site.now);
+    cr_assert(is_used(300));
+  }
+}
