Entries with one id are found without a list for each

Cause: each change of the catalog made a list for every server, to find the few entries that share an id.

--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -119,33 +119,30 @@
   // Packets name their server by its id alone, so one of these entries is a
   // copy. The one that was known first is the server's own; a later start
   // decides between entries that were learnt together.
-  const auto is_own = [this](server_row a, server_row b) {
+  const auto precedes = [this](server_row a, server_row b) {
     const known_server& first = rows_[a];
     const known_server& other = rows_[b];
     return std::tuple(first.known_since, -first.born_ms, first.name) <
            std::tuple(other.known_since, -other.born_ms, other.name);
   };
-  absl::flat_hash_map<backend_server_id, std::vector<server_row>> by_id;
+  absl::flat_hash_map<backend_server_id, server_row> own_rows;
   for (server_row row = 0; row < rows_.size(); ++row) {
     rows_[row].is_duplicate = false;
-    if (IsUsable(row)) by_id[rows_[row].id].push_back(row);
-  }
-  for (const auto& [id, rows] : by_id) {
-    if (rows.size() == 1) continue;
-    known_server& own =
-        rows_[*std::min_element(rows.begin(), rows.end(), is_own)];
-    for (const server_row row : rows) {
-      known_server& other = rows_[row];
-      if (&other == &own) continue;
-      other.is_duplicate = true;
-      rejected.push_back(
-          {other.name, other.service, entry_rejection::kDuplicateId});
-      // Whichever is the copy, it is not known to be.
-      if (other.state == server_state::kDraining) own.state = other.state;
-      own.is_withdrawn = own.is_withdrawn || other.is_withdrawn;
-      own.cold_until = std::max(own.cold_until, other.cold_until);
-      own.is_unconfirmed = own.is_unconfirmed || other.is_unconfirmed;
-    }
+    if (!IsUsable(row)) continue;
+    const auto [it, is_first] = own_rows.try_emplace(rows_[row].id, row);
+    if (is_first) continue;
+    server_row copy = row;
+    if (precedes(copy, it->second)) std::swap(copy, it->second);
+    known_server& own = rows_[it->second];
+    known_server& other = rows_[copy];
+    other.is_duplicate = true;
+    rejected.push_back(
+        {other.name, other.service, entry_rejection::kDuplicateId});
+    // Either may be the copy: what any of them says against new flows counts.
+    if (other.state == server_state::kDraining) own.state = other.state;
+    own.is_withdrawn = own.is_withdrawn || other.is_withdrawn;
+    own.is_unconfirmed = own.is_unconfirmed || other.is_unconfirmed;
+    own.cold_until = std::max(own.cold_until, other.cold_until);
   }
 }
 
