A refused copy is no lack of servers to the failure explainer

Cause: since copies of unknown opening packets are reset, `poplarctl explain` and the soak took such a reset for "no server accepted new flows", which was untrue, and looked for the cause at the instance that refused the copy only.

Change: these lines name no cause and no instance; what became of the first packet is looked for.

--- a/poplarstair/diagnosis/failure_explainer.cc
+++ b/poplarstair/diagnosis/failure_explainer.cc
@@ -34,7 +34,7 @@
       if (!line.HasFieldValue(failed.key)) continue;
       if (line.at > failed.ended_at + kLookAhead) continue;
       flow_lines_.push_back(&line);
-      flow_instances_.insert(line.instance);
+      if (!IsRefusedCopy(line)) flow_instances_.insert(line.instance);
       if (!line.Field("server").empty()) server_ = line.Field("server");
       if (!line.Field("domain").empty()) domain_ = line.Field("domain");
     }
@@ -71,6 +71,13 @@
     return near;
   }
 
+  /// The flow's first packet went elsewhere, and what became of that one is the
+  /// cause.
+  static bool IsRefusedCopy(const log_line& line) {
+    return line.event == "flow_refused" &&
+           line.Field("reason") == "unknown_opening";
+  }
+
   bool IsAboutFlow(const log_line& line) const {
     return line.HasFieldValue(failed_.key);
   }
@@ -86,7 +93,8 @@
 
   bool CheckRefusal() {
     const auto refused = FindNearby([this](const log_line& line) {
-      return IsAboutFlow(line) && line.event == "flow_refused";
+      return IsAboutFlow(line) && line.event == "flow_refused" &&
+             !IsRefusedCopy(line);
     });
     if (refused.empty()) return false;
     const std::string reason(refused.back()->Field("reason"));
--- a/unit_tests/diagnosis/failure_explainer_test.cc
+++ b/unit_tests/diagnosis/failure_explainer_test.cc
@@ -126,3 +126,19 @@
           .cause,
       failure_cause::kUnknown);
 }
+
+// The copy was reset by an instance that had servers; the one that had got the
+// flow's first packet was lost.
+Test(failure_explainer, a_refused_copy_is_no_lack_of_servers) {
+  const explanation found =
+      Explain(Line("100.200", "c-2",
+                   std::string("event=flow_refused flow=") + kFlow +
+                       " copy=1 reason=unknown_opening outcome=reset") +
+              Line("100.900", "c-1", "event=starting domain=c"));
+  cr_assert_eq(found.cause, failure_cause::kInstanceLost);
+  cr_assert_eq(Explain(Line("100.200", "c-2",
+                            std::string("event=flow_refused flow=") + kFlow +
+                                " copy=1 reason=unknown_opening"))
+                   .cause,
+               failure_cause::kUnknown);
+}
