--- a/unit_tests/steering/flow_opening_test.cc
+++ b/unit_tests/steering/flow_opening_test.cc
@@ -67,6 +67,7 @@
     // Instances come and go between the client's copies; each may lose its
     // packets to servers, or be the one that placed the flow.
     std::vector<std::unique_ptr<steering_site>> instances;
+    instances.reserve(3);
     for (int i = 0; i < 3; ++i) {
       instances.push_back(std::make_unique<steering_site>());
     }
