Behind a cut no client loses a try by a reset

A domain whose own servers are withdrawn was cut off: its instances reset flow after flow at servers out of reach, and copies of dropped packets, until the clients had no tries left. The fabric would have handed them to another domain a second later.

Cause: since flows are placed once, a silent server ends a flow at once. Behind a cut every server of another domain is silent.

Change: while other domains have not answered, a flow at a server out of the own domain is not reset for silence, and neither is a copy for which this instance has no server; its client's copies go on, as for new flows.

Before: flow_steering behind_a_cut_no_client_loses_a_try failed. After: steering_test 106 of 106.

--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -286,6 +286,13 @@
     });
   }
 
+  /// True if a copy of the client's packet may be served, here or at another
+  /// instance, though a new flow is not now.
+  bool MayBeServedLater(time_point now, const std::string& service) const {
+    return HasUnconfirmed(service) ||
+           (!HasServer(service) && actions_.others_may_serve(now));
+  }
+
   /// True if every change that has to be in force by now is known.
   bool IsFresh(time_point now) const {
     const service_promises& promises = settings_.promises;
@@ -320,7 +327,7 @@
     if (admission_.IsHeld(hash)) {
       return {steer_verdict::kDrop, steer_reason::kHeld, {}, {}, 0};
     }
-    if (packet.copy > 0) return RefuseCopy(now, packet);
+    if (packet.copy > 0) return OnUnknownCopy(now, packet, hash);
     // The client uses the port again: the earlier flow has ended.
     flows_.Close(now, hash);
     const service_route* route = routes_.Find(packet.service);
@@ -342,8 +349,16 @@
 
   /// Another instance may have placed the flow. The reset makes the client open
   /// another flow at once; if this one has opened meanwhile, its client ignores
-  /// the reset, whose sequence number is not near what it expects.
-  steer_decision RefuseCopy(time_point now, const segment& packet) {
+  /// the reset, whose sequence number is not near what it expects. A new flow
+  /// would fare no better while this instance has no server for it.
+  steer_decision OnUnknownCopy(time_point now, const segment& packet,
+                               uint64_t hash) {
+    const service_route* route = routes_.Find(packet.service);
+    const std::string* service =
+        route == nullptr ? nullptr : ServiceFor(*route, hash);
+    if (service != nullptr && MayBeServedLater(now, *service)) {
+      return Refuse(now, packet, steer_reason::kNoneEligible, true);
+    }
     actions_.log(RefusedLine(Facts(now), packet, steer_reason::kUnknownOpening,
                              routes_.Version(), true));
     return {steer_verdict::kReset, steer_reason::kUnknownOpening, {}, {}, 0};
@@ -458,6 +473,7 @@
     if (!MayOpen(now, *route, record)) {
       problem = steer_reason::kServerGone;
     } else if (may_be_lost || AnswersOthers(now, record) ||
+               IsOutOfReach(now, record) ||
                !HasOtherServer(now, *route, record.row)) {
       return Forward(record.row, steer_reason::kPlacedAgain);
     }
@@ -467,6 +483,14 @@
     return {steer_verdict::kReset, problem, {}, {}, 0};
   }
 
+  /// True if it may be the way to the flow's server that is cut, and with it
+  /// those to the others of other domains: a client would lose all its tries.
+  bool IsOutOfReach(time_point now, const flow_record& record) const {
+    const known_server& server = servers_.At(record.row);
+    return server.failure_domain != settings_.failure_domain &&
+           actions_.others_may_serve(now);
+  }
+
   /// True if the flow would still be placed where it was placed.
   bool MayOpen(time_point now, const service_route& route,
                const flow_record& record) const {
@@ -519,10 +543,8 @@
       choice.row = kNoServer;
     }
     if (choice.row == kNoServer) {
-      const bool may_wait =
-          HasUnconfirmed(service) ||
-          (!HasServer(service) && actions_.others_may_serve(now));
-      return Refuse(now, packet, steer_reason::kNoneEligible, may_wait);
+      return Refuse(now, packet, steer_reason::kNoneEligible,
+                    MayBeServedLater(now, service));
     }
     estimates_.OnPlaced(now, choice.row);
     flow_record& record = flows_.Add(hash);
@@ -659,13 +681,13 @@
     return {steer_verdict::kReset, steer_reason::kUnknownCookie, {}, {}, 0};
   }
 
-  /// Refuses a new flow at once if what is known is current; else, or if
-  /// others may serve it, its copy may find more.
+  /// Refuses a new flow at once if what is known is current; else, or if it may
+  /// be served later, its copy may find more.
   steer_decision Refuse(time_point now, const segment& packet,
-                        steer_reason reason, bool others_may_serve = false) {
+                        steer_reason reason, bool may_be_served = false) {
     // Room does not depend on how old the catalog is.
     const bool is_known = reason == steer_reason::kNoRoom || IsFresh(now);
-    const bool is_final = is_known && !others_may_serve;
+    const bool is_final = is_known && !may_be_served;
     actions_.log(
         RefusedLine(Facts(now), packet, reason, routes_.Version(), is_final));
     return {is_final ? steer_verdict::kReset : steer_verdict::kDrop,
--- a/unit_tests/steering/flow_opening_test.cc
+++ b/unit_tests/steering/flow_opening_test.cc
@@ -346,3 +346,25 @@
     cr_assert_eq(site.Send(packet).server, placed.server);
   }
 }
+
+// Behind a cut with its own servers withdrawn, an instance reset flow after
+// flow of clients that another domain could have served a second later: their
+// tries were used up by then.
+Test(flow_steering, behind_a_cut_no_client_loses_a_try) {
+  steering_site site;
+  site.known.withdrawn_domains = {"a"};
+  site.Publish();
+  for (uint16_t port = 100; port < 110; ++port) site.OpenAndAnswer(port);
+  site.may_be_cut = true;
+  for (uint16_t port = 1; port <= 40; ++port) {
+    for (uint32_t copy = 0; copy <= kOpeningCopies; ++copy) {
+      cr_assert_neq(site.Open(port, copy).verdict, steer_verdict::kReset);
+      site.Pass(milliseconds(60));
+    }
+  }
+  cr_assert_not(site.steering.CanServe());
+  cr_assert(site.reset.empty());
+  // It was no cut: others answer, and the servers are lost.
+  site.may_be_cut = false;
+  cr_assert_eq(site.Open(90).verdict, steer_verdict::kReset);
+}
--- a/unit_tests/steering/steering_site.h
+++ b/unit_tests/steering/steering_site.h
@@ -166,6 +166,8 @@
   fleet_facts fleet;
   std::set<backend_server_id> tested;
   uint32_t cold_owners = 0;
+  /// Other domains do not answer.
+  bool may_be_cut = false;
   metric_registry metrics;
   flow_steering steering{
       Settings(),
@@ -181,7 +183,7 @@
        [this](const segment& packet) { reset.push_back(packet); },
        [this](time_point) { return fleet; },
        [this](const known_server&) { return cold_owners; },
-       [](time_point) { return false; }}};
+       [this](time_point) { return may_be_cut; }}};
 
  private:
   static steering_settings Settings() {
