A copy of a server's entry takes no address

Cause: found by reading. An entry whose id another one holds gets no flows itself, but still counted as the one that has the address now; the server's own entry was then that of an ended process as soon as it was silent.

Change: such an entry claims no address.

Before: flow_steering a_copy_of_a_servers_entry_takes_no_address failed. After: it holds.

--- a/poplarstair/steering/server_set.cc
+++ b/poplarstair/steering/server_set.cc
@@ -163,7 +163,9 @@
 void server_set::NoteTakenAddresses() {
   absl::flat_hash_map<endpoint, int64_t> latest_start;
   for (const known_server& server : rows_) {
-    if (server.gone_at != kNever || !server.is_service_known) continue;
+    const bool is_claim = server.gone_at == kNever && server.is_service_known &&
+                          !server.is_duplicate;
+    if (!is_claim) continue;
     int64_t& latest = latest_start[server.address];
     latest = std::max(latest, server.born_ms);
   }
--- a/unit_tests/steering/server_entries_test.cc
+++ b/unit_tests/steering/server_entries_test.cc
@@ -295,3 +295,20 @@
     cr_assert(is_used(300));
   }
 }
+
+// A whole copy of a server's entry with a later start, which gets no flows
+// itself, made the server's address count as taken.
+Test(flow_steering, a_copy_of_a_servers_entry_takes_no_address) {
+  steering_site site;
+  const backend_server_id silent = SilenceServerOf(site, 1);
+  const std::string name = std::to_string(silent.Value());
+  server_entry copy = site.known.servers.at(name);
+  copy.born_ms = 5000;
+  site.known.servers["0-" + name] = copy;
+  site.Publish();
+  cr_assert_eq(site.Data(1, site.Cookie(silent.Value()), 101, 1).verdict,
+               steer_verdict::kForward);
+  site.tested.clear();
+  site.Pass(seconds(2));
+  cr_assert(site.tested.contains(silent));
+}
