Only a flow of before a silence tells that its server is the same process

Cause: found by reading.

Change: the last answer before the silence counts; another silence before the server is confirmed does not move it.

Before: server_estimates only_a_flow_of_before_tells_that_the_process_is_the_same failed.

--- a/poplarstair/admission/server_estimates.cc
+++ b/poplarstair/admission/server_estimates.cc
@@ -137,7 +137,7 @@
   estimate& e = rows_[row];
   const bool was_silent = e.is_silent || e.is_on_trial;
   // A process that has started anew knows no flow of before.
-  if (flow_since <= e.last_progress) {
+  if (flow_since <= e.answered_until) {
     e.answers_since = kNever;
   } else if (e.is_silent) {
     e.answers_since = now;
@@ -217,6 +217,12 @@
     e.next_test += std::min(settings_.first_test * (1 << e.failed_trials),
                             settings_.longest_test);
   }
+  // Until it is confirmed, answers since an earlier silence may be those of
+  // another process.
+  if (!MayHaveRestarted(e)) {
+    e.answers_since = kNever;
+    e.answered_until = e.last_progress;
+  }
   e.is_silent = true;
   e.is_on_trial = false;
   return true;
--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -113,8 +113,7 @@
   /// True if the server was silent, answers again, and may have started anew:
   /// its entry has not been confirmed since, and no flow of before goes on.
   bool MayHaveRestarted(uint32_t row) const {
-    const time_point since = rows_[row].answers_since;
-    return since != kNever && confirmed_at_ < since + settings_.store_time;
+    return MayHaveRestarted(rows_[row]);
   }
 
   /// A new flow was sent to the server.
@@ -195,6 +194,8 @@
     time_point unanswered_at{};
     time_point last_progress = time_point{};
     time_point silence_ended_at = time_point{};
+    /// Its last answer before the silence.
+    time_point answered_until = time_point{};
     /// When it answered again; kNever if it is known to be the same process.
     time_point answers_since = kNever;
     /// Flows that wait in vain since the last progress.
@@ -229,6 +230,10 @@
   double Penalty(time_point now, const estimate& e) const {
     return 1 + settings_.unanswered_factor * Unanswered(now, e);
   }
+  bool MayHaveRestarted(const estimate& e) const {
+    return e.answers_since != kNever &&
+           confirmed_at_ < e.answers_since + settings_.store_time;
+  }
   static void ClearSilence(estimate& e);
   bool AddWitness(time_point now, estimate& e, uint64_t flow);
   bool BecomeSilent(time_point now, estimate& e);
--- a/unit_tests/admission/server_estimates_test.cc
+++ b/unit_tests/admission/server_estimates_test.cc
@@ -130,3 +130,26 @@
   estimates.OnRequestDropped(now, 0, milliseconds(50));
   cr_assert_eq(estimates.ExpectedWait(now, 0, 2), idle);
 }
+
+// The second answer on a flow of after the silence was taken for one on a flow
+// of before it.
+Test(server_estimates,
+     only_a_flow_of_before_tells_that_the_process_is_the_same) {
+  for (const bool is_of_before : {false, true}) {
+    server_estimates estimates = MakeEstimates();
+    estimates.OnProgress(kStart, 0, kStart);
+    estimates.OnGivenUp(kStart + seconds(1), 0);
+    estimates.OnReachable(kStart + seconds(2), 0);
+    estimates.SetConfirmed(kStart + seconds(1));
+    const time_point flow_since = is_of_before ? kStart : kStart + seconds(2);
+    for (int answer = 1; answer <= 3; ++answer) {
+      estimates.OnProgress(kStart + seconds(2 + answer), 0, flow_since);
+      cr_assert_eq(estimates.MayHaveRestarted(0), !is_of_before);
+      // Silent once more: what has answered since is still not confirmed.
+      estimates.OnGivenUp(kStart + seconds(2 + answer), 0);
+      estimates.OnReachable(kStart + seconds(2 + answer), 0);
+    }
+    estimates.SetConfirmed(kStart + seconds(9));
+    cr_assert_not(estimates.MayHaveRestarted(0));
+  }
+}
