--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -249,7 +249,7 @@
   }
   const object_revisions before = ClearObjects(what);
   for (const store_object& object : objects) Apply(what, object, revision);
-  NoteReturned(withdrawn, revision);
+  returned_.Note(withdrawn, catalog_.withdrawn_domains, revision);
   NoteRemoved(what, before, revision);
   SetRevision(what, revision);
   needs_own_reading_[static_cast<size_t>(what)] = false;
@@ -262,7 +262,7 @@
   if (revision <= Revision(what)) return false;
   const std::vector<std::string> withdrawn = catalog_.withdrawn_domains;
   for (const store_object& object : objects) Apply(what, object, revision);
-  NoteReturned(withdrawn, revision);
+  returned_.Note(withdrawn, catalog_.withdrawn_domains, revision);
   SetRevision(what, revision);
   return true;
 }
@@ -279,27 +279,8 @@
 
 void catalog_replica::SetRevision(collection what, store_revision revision) {
   revisions_[static_cast<size_t>(what)] = revision;
-  UpdateUnconfirmed();
-}
-
-void catalog_replica::NoteReturned(const std::vector<std::string>& before,
-                                   store_revision revision) {
-  const auto& withdrawn = catalog_.withdrawn_domains;
-  for (const std::string& domain : before) {
-    if (!std::binary_search(withdrawn.begin(), withdrawn.end(), domain)) {
-      returned_at_[domain] = revision;
-    }
-  }
-}
-
-void catalog_replica::UpdateUnconfirmed() {
-  const store_revision known = Revision(collection::kServers);
-  std::erase_if(returned_at_,
-                [known](const auto& item) { return item.second <= known; });
-  catalog_.unconfirmed_domains.clear();
-  for (const auto& [domain, revision] : returned_at_) {
-    catalog_.unconfirmed_domains.push_back(domain);
-  }
+  catalog_.unconfirmed_domains =
+      returned_.Unconfirmed(Revision(collection::kServers));
 }
 
 void catalog_replica::SetObject(collection what, const std::string& name,
@@ -524,7 +505,7 @@
     case collection::kWithdrawals: {
       const std::vector<std::string> before =
           std::exchange(catalog_.withdrawn_domains, fields.withdrawn_domains);
-      NoteReturned(before, fields.revision);
+      returned_.Note(before, catalog_.withdrawn_domains, fields.revision);
       break;
     }
   }
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "poplarstair/catalog/returned_domains.h"
 #include "poplarstair/catalog/store_call.h"
 #include "poplarstair/core/log_record.h"
 
@@ -86,20 +87,14 @@
   bool ImportChanges(time_point now, const collection_fields& fields);
   bool TakeRoutes(const route_table& routes);
   void LogUnread(const route_table& routes);
+  /// Updates catalog::unconfirmed_domains too.
   void SetRevision(collection what, store_revision revision);
-  /// Notes the domains that were withdrawn before and are not any more, as of
-  /// the revision.
-  void NoteReturned(const std::vector<std::string>& before,
-                    store_revision revision);
-  /// Updates catalog::unconfirmed_domains.
-  void UpdateUnconfirmed();
 
   const log_hook log_;
   catalog catalog_;
   std::array<store_revision, kCollections> revisions_{};
   std::array<content_digest, kCollections> digests_{};
-  /// By which revision domains were not withdrawn any more.
-  std::map<std::string, store_revision> returned_at_;
+  returned_domains returned_;
   /// Revision of each object.
   std::array<object_revisions, kCollections> objects_;
   /// Servers that are gone, with the revision by which they were.
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -202,8 +202,8 @@
     confirmed_at_ = now;
     revision_ = std::max(revision_, reply.revision);
     if (reply.objects.empty()) {
-      actions_.confirmed(revision_);
-      return Watch(now);
+      Watch(now);
+      return actions_.confirmed(revision_);
     }
     const bool is_burst = now - news_at_ < settings_.gather_time;
     news_at_ = now;
