--- a/unit_tests/steering/flow_opening_test.cc
+++ b/unit_tests/steering/flow_opening_test.cc
@@ -59,7 +59,7 @@
     cr_assert(flows.contains(again.server));
   }
   // Each flow no more often than its client would, and not without end.
-  cr_assert_leq(site.sent_again.size(), 3 * kOpeningCopies);
+  cr_assert_leq(site.sent_again.size(), size_t{3} * kOpeningCopies);
   for (uint16_t port = 10; port < 20; ++port) {
     cr_assert_leq(flows[site.Open(port).server], 1u);
     site.Answer(port, site.Cookie(3));
