--- a/unit_tests/steering/server_entries_test.cc
+++ b/unit_tests/steering/server_entries_test.cc
@@ -69,6 +69,26 @@
   cr_assert_eq(started.Data(7, cookie, 1, 1).destination, own.address);
 }
 
+// Instances that learn of a copied entry and of the server's own one in another
+// order must send a flow to the same address.
+Test(flow_steering, instances_agree_on_two_entries_with_one_id) {
+  steering_site first_copy;
+  steering_site first_own;
+  const server_entry own = first_own.known.servers.at("1");
+  server_entry copy = own;
+  copy.address = endpoint::Parse("10.0.0.9:80");
+  first_copy.known.servers.erase("1");
+  first_copy.known.servers["01"] = copy;
+  first_copy.Publish();
+  first_copy.known.servers["1"] = own;
+  first_copy.Publish();
+  first_own.known.servers["01"] = copy;
+  first_own.Publish();
+  const flow_cookie cookie = steering_site::Cookie(1);
+  cr_assert_eq(first_copy.Data(7, cookie, 1, 1).destination, own.address);
+  cr_assert_eq(first_own.Data(7, cookie, 1, 1).destination, own.address);
+}
+
 // An entry of a service that the configuration does not name, with a live
 // server's address and a later start: two lost handshakes were then enough to
 // reset the server's open flows, and nothing tested the server any more.
