--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -593,6 +593,16 @@
   std::map<uint64_t, std::vector<time_point>> opened_;
 };
 
+constexpr size_t kFewInstances = 6;
+
+/// Four servers of one domain, known everywhere.
+void StartServers(entry_fleet& fleet) {
+  for (uint64_t id = 1; id <= 4; ++id) {
+    fleet.SetServer(id, server_state::kReady);
+  }
+  fleet.RunFor(seconds(5));
+}
+
 }  // namespace
 
 // A domain was taken back while its servers' reports, confirmed before, waited
@@ -600,12 +610,9 @@
 Test(entry_instance, a_domain_returns_once_its_cold_servers_are_known) {
   for (uint32_t seed = 1; seed <= 30; ++seed) {
     random_source random(seed);
-    entry_fleet fleet(6, 2, seed);
-    for (uint64_t id = 1; id <= 4; ++id) {
-      fleet.SetServer(id, server_state::kReady);
-    }
-    fleet.RunFor(seconds(5));
-    flows_at_cold_servers load(fleet, 6);
+    entry_fleet fleet(kFewInstances, 2, seed);
+    StartServers(fleet);
+    flows_at_cold_servers load(fleet, kFewInstances);
     for (int round = 0; round < 3; ++round) {
       fleet.store.Put(collection::kWithdrawals, "d0", std::monostate());
       load.RunFor(seconds(2));
@@ -628,13 +635,10 @@
 Test(entry_instance, servers_that_start_again_under_their_ids_are_cold) {
   for (uint32_t seed = 1; seed <= 30; ++seed) {
     random_source random(seed);
-    entry_fleet fleet(6, 2, seed);
-    for (uint64_t id = 1; id <= 4; ++id) {
-      fleet.SetServer(id, server_state::kReady);
-    }
+    entry_fleet fleet(kFewInstances, 2, seed);
     fleet.has_server_checks = true;
-    fleet.RunFor(seconds(5));
-    flows_at_cold_servers load(fleet, 6);
+    StartServers(fleet);
+    flows_at_cold_servers load(fleet, kFewInstances);
     for (int round = 0; round < 3; ++round) {
       load.RunFor(seconds(1));
       const milliseconds down(400 + RandomBelow(random, 800));
--- a/unit_tests/steering/server_entries_test.cc
+++ b/unit_tests/steering/server_entries_test.cc
@@ -89,6 +89,23 @@
   cr_assert_eq(first_own.Data(7, cookie, 1, 1).destination, own.address);
 }
 
+namespace {
+
+/// The entry does not end the open flow of the silent server on port 1, nor the
+/// tests of that server.
+void ExpectNoAddressTaken(steering_site &site, backend_server_id silent,
+                          const std::string &name, const server_entry &claim) {
+  site.known.servers[name] = claim;
+  site.Publish();
+  cr_assert_eq(site.Data(1, site.Cookie(silent.Value()), 101, 1).verdict,
+               steer_verdict::kForward);
+  site.tested.clear();
+  site.Pass(seconds(2));
+  cr_assert(site.tested.contains(silent));
+}
+
+}  // namespace
+
 // An entry of a service that the configuration does not name, with a live
 // server's address and a later start: two lost handshakes were then enough to
 // reset the server's open flows, and nothing tested the server any more.
@@ -99,13 +116,18 @@
   claim.id = backend_server_id(9);
   claim.service = "unknown";
   claim.born_ms = 5000;
-  site.known.servers["9"] = claim;
-  site.Publish();
-  cr_assert_eq(site.Data(1, site.Cookie(silent.Value()), 101, 1).verdict,
-               steer_verdict::kForward);
-  site.tested.clear();
-  site.Pass(seconds(2));
-  cr_assert(site.tested.contains(silent));
+  ExpectNoAddressTaken(site, silent, "9", claim);
+}
+
+// A whole copy of a server's entry with a later start, which gets no flows
+// itself, made the server's address count as taken.
+Test(flow_steering, a_copy_of_a_servers_entry_takes_no_address) {
+  steering_site site;
+  const backend_server_id silent = SilenceServerOf(site, 1);
+  const std::string name = std::to_string(silent.Value());
+  server_entry copy = site.known.servers.at(name);
+  copy.born_ms = 5000;
+  ExpectNoAddressTaken(site, silent, "0-" + name, copy);
 }
 
 // A flow stays at its server when a new configuration no longer names the
@@ -315,20 +337,3 @@
     cr_assert(is_used(300));
   }
 }
-
-// A whole copy of a server's entry with a later start, which gets no flows
-// itself, made the server's address count as taken.
-Test(flow_steering, a_copy_of_a_servers_entry_takes_no_address) {
-  steering_site site;
-  const backend_server_id silent = SilenceServerOf(site, 1);
-  const std::string name = std::to_string(silent.Value());
-  server_entry copy = site.known.servers.at(name);
-  copy.born_ms = 5000;
-  site.known.servers["0-" + name] = copy;
-  site.Publish();
-  cr_assert_eq(site.Data(1, site.Cookie(silent.Value()), 101, 1).verdict,
-               steer_verdict::kForward);
-  site.tested.clear();
-  site.Pass(seconds(2));
-  cr_assert(site.tested.contains(silent));
-}
