Log lines are written at once: a killed instance has told of its refusals

Cause: lines waited in the process for a timer of a second, or for 4 KB; what an instance did in the second before a kill was not in its log.

Change: a line is written before Write returns, so before the reset that it tells of is sent.

Result: a_line_outlives_the_process_that_is_killed_after_it failed before.

--- a/poplarstair/daemon/bounded_log.cc
+++ b/poplarstair/daemon/bounded_log.cc
@@ -13,9 +13,6 @@
 
 /// Failures and changes of belief are rarer and matter more than routine.
 constexpr uint32_t kWarningFactor = 4;
-/// Buffered bytes from which lines are handed over without waiting for the
-/// timer: few system calls, and little is lost with the process.
-constexpr size_t kFlushBytes = 4 << 10;
 
 std::string WallClock() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -51,7 +48,9 @@
   }
   ++it->second;
   Append(record);
-  if (buffer_.size() >= kFlushBytes) Flush();
+  // The event is logged before others see it, e.g. before a reset is sent: a
+  // line that waits here would be lost if the process is killed.
+  Flush();
 }
 
 void bounded_log::Append(const log_record& record) {
--- a/poplarstair/daemon/bounded_log.h
+++ b/poplarstair/daemon/bounded_log.h
@@ -25,8 +25,9 @@
   bounded_log(int descriptor, std::string instance,
               const bounded_log_settings& settings);
 
+  /// Hands the line to the reader at once, unless the reader is behind.
   void Write(const log_record& record);
-  /// Hands what is buffered to the reader, as far as it takes it.
+  /// Hands what the reader did not take before, as far as it takes it now.
   void Flush();
   /// Once a second: opens new budgets, and says what was left out.
   void OnSecond();
--- a/unit_tests/daemon/bounded_log_test.cc
+++ b/unit_tests/daemon/bounded_log_test.cc
@@ -2,9 +2,11 @@
 
 #include <criterion/criterion.h>
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
 #include <string>
 
 using namespace poplarstair;
@@ -65,6 +67,19 @@
                      "reason=server_silent\n"));
 }
 
+Test(bounded_log, a_line_outlives_the_process_that_is_killed_after_it) {
+  const pipe_ends ends;
+  const pid_t child = fork();
+  if (child == 0) {
+    bounded_log log(ends.writer, "entry-1", {});
+    log.Write(log_record("flow_refused").With("reason", "no_room"));
+    raise(SIGKILL);
+  }
+  cr_assert_eq(waitpid(child, nullptr, 0), child);
+  cr_assert_eq(CountOf(ends.ReadAll(), "event=flow_refused reason=no_room\n"),
+               1u);
+}
+
 Test(bounded_log, leaves_out_what_exceeds_its_bound_and_says_so) {
   const pipe_ends ends;
   bounded_log log(ends.writer, "entry-1", {log_level::kInfo, 10, 64 << 10});
