Other domains' silence counts against their servers where there are no others

Change: once an instance knows that no other domain answers, 0.3 s after the first silence, servers there that have not answered since count as silent until a test reaches them, if the own domain has none for the service.

Result: knows_of_a_cut_before_each_far_server_was_tried failed before; lost_instances_of_other_domains_are_no_cut guards the other side.

--- a/poplarstair/admission/server_estimates.h
+++ b/poplarstair/admission/server_estimates.h
@@ -91,8 +91,8 @@
   /// yet. True as for OnRepeat.
   bool OnOverdue(time_point now, uint32_t row, uint64_t flow,
                  time_point sent_at);
-  /// A flow was ended since its handshake was not answered: no other one is to
-  /// be sent there before a test. True as for OnRepeat.
+  /// No flow is to be sent there before a test, for a reason other than those
+  /// above. True as for OnRepeat.
   bool OnGivenUp(time_point now, uint32_t row) {
     return BecomeSilent(now, rows_[row]);
   }
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -435,7 +435,12 @@
     if (is_stopping_) return;
     // Asked at the first silence: by the time that every server is found
     // silent, the answer is known.
-    if (steering_.HasSilentServers()) AskOtherDomains(now);
+    if (steering_.HasSilentServers()) {
+      AskOtherDomains(now);
+      if (peers_.PathToOthers(now) == far_path::kCut) {
+        steering_.OnOthersSilent(now, peers_.FarSilentSince());
+      }
+    }
     const bool is_cut = IsBehindCut(now);
     if (is_cut == is_cut_) return;
     is_cut_ = is_cut;
--- a/poplarstair/steering/flow_steering.cc
+++ b/poplarstair/steering/flow_steering.cc
@@ -129,6 +129,24 @@
     openings_.Admission().OnPeerLoads(now, domain, loads);
   }
 
+  // Where no server of the own domain is left, each server of the others would
+  // have to be found silent by flows of its own, while clients wait.
+  void OnOthersSilent(time_point now, time_point since) {
+    if (since == others_silent_since_) return;
+    others_silent_since_ = since;
+    const std::string& own = state_.settings.failure_domain;
+    for (server_row row = 0; row < state_.servers.Size(); ++row) {
+      const known_server& server = state_.servers.At(row);
+      const bool has_answered = state_.estimates.LastProgress(row) >= since;
+      if (server.failure_domain != own && server.TakesNewFlows() &&
+          !has_answered &&
+          !openings_.Services().IsServedIn(own, server.service) &&
+          state_.estimates.OnGivenUp(now, row)) {
+        state_.LogSilence(now, row, "domain");
+      }
+    }
+  }
+
   void OnServerChecked(time_point now, server_row row, bool is_reachable) {
     if (!is_reachable) return state_.estimates.OnUnreachable(row);
     state_.estimates.OnReachable(now, row);
@@ -234,6 +252,8 @@
   /// Longest timeout of any route; duration::max() if none is stated.
   duration longest_request_ = duration::max();
   time_point next_sweep_{};
+  /// What OnOthersSilent was last told.
+  time_point others_silent_since_{};
   server_row next_checked_ = 0;
 };
 
@@ -275,6 +295,9 @@
                                const std::vector<service_load>& loads) {
   impl_->OnFarLoads(now, domain, loads);
 }
+void flow_steering::OnOthersSilent(time_point now, time_point since) {
+  impl_->OnOthersSilent(now, since);
+}
 void flow_steering::OnServerChecked(time_point now, server_row server,
                                     bool is_reachable) {
   impl_->OnServerChecked(now, server, is_reachable);
--- a/poplarstair/steering/flow_steering.h
+++ b/poplarstair/steering/flow_steering.h
@@ -96,6 +96,8 @@
   /// How busy the services are in another failure domain.
   void OnFarLoads(time_point now, const std::string& domain,
                   const std::vector<service_load>& loads);
+  /// No instance of another domain has answered since then.
+  void OnOthersSilent(time_point now, time_point since);
   void OnServerChecked(time_point now, server_row server, bool is_reachable);
   /// To be called at least every kTickInterval.
   void OnTick(time_point now);
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -3,6 +3,7 @@
 #ifndef POPLARSTAIR_STEERING_PEER_VIEW_H_
 #define POPLARSTAIR_STEERING_PEER_VIEW_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -167,6 +168,10 @@
   /// empty while an answer is awaited or has just come.
   std::vector<endpoint> AskOtherDomains(time_point now);
   far_path PathToOthers(time_point now) const;
+  /// If the path is cut: since when no other domain has answered.
+  time_point FarSilentSince() const {
+    return std::max(far_heard_at_, far_asked_at_);
+  }
 
   size_t Size() const { return members_.size(); }
 
--- a/poplarstair/steering/service_view.cc
+++ b/poplarstair/steering/service_view.cc
@@ -14,6 +14,16 @@
   });
 }
 
+bool service_view::IsServedIn(const std::string& domain,
+                              const std::string& service) const {
+  const auto rows = servers_.OfService(service);
+  return std::any_of(rows.begin(), rows.end(), [&](server_row row) {
+    const known_server& server = servers_.At(row);
+    return server.failure_domain == domain && server.TakesNewFlows() &&
+           !estimates_.IsSilent(row);
+  });
+}
+
 bool service_view::IsServedOrEmpty(const std::string& service) const {
   const auto rows = servers_.OfService(service);
   const bool is_empty = std::none_of(
--- a/poplarstair/steering/service_view.h
+++ b/poplarstair/steering/service_view.h
@@ -19,7 +19,9 @@
 
   /// True if a server of the service takes flows and answers.
   bool IsServed(const std::string& service) const;
-  /// The same, or no server of the service takes flows.
+  /// The same, counting servers of this failure domain alone.
+  bool IsServedIn(const std::string& domain, const std::string& service) const;
+  /// As IsServed, or no server of the service takes flows.
   bool IsServedOrEmpty(const std::string& service) const;
   /// True if a server of the service may turn out to be warm within the time
   /// of the client's next copy.
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -105,7 +105,7 @@
     server.cold_until = cold_until;
     server.id = backend_server_id(id);
     server.service = "s";
-    server.address = endpoint::Parse("10.9.0.1:80");
+    server.address = endpoint::Parse("10.9.0." + std::to_string(id) + ":80");
     server.failure_domain = "d0";
     server.state = state;
     store.Put(collection::kServers, "i-" + std::to_string(id), server);
--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -252,6 +252,52 @@
   cr_assert_eq(fleet.State(1)["ready"], false);
 }
 
+// Flows had to find each far server silent by itself before the instance left
+// new ones to other domains; their clients waited for nothing meanwhile.
+Test(entry_instance, knows_of_a_cut_before_each_far_server_was_tried) {
+  constexpr uint64_t kServers = 100;
+  entry_fleet fleet(7, kDomains, 19);
+  for (uint64_t id = 1; id <= kServers; ++id) {
+    fleet.SetServer(id, server_state::kReady);
+  }
+  fleet.RunFor(seconds(6));
+  fleet.is_cut = [](size_t a, size_t b) {
+    return a % kDomains != b % kDomains;
+  };
+  for (uint16_t port = 1; port <= 40; ++port) {
+    cr_assert_neq(fleet.Open(1, port).verdict, steer_verdict::kReset);
+    fleet.RunFor(milliseconds(20));
+  }
+  fleet.RunFor(milliseconds(300));
+  cr_assert_eq(fleet.Open(1, 100).verdict, steer_verdict::kDrop);
+  cr_assert_eq(fleet.State(1)["ready"], false);
+}
+
+// Other domains' instances were lost and their servers were not: those that
+// answer are used all the while, the others again after a test each.
+Test(entry_instance, lost_instances_of_other_domains_are_no_cut) {
+  constexpr uint64_t kServers = 100;
+  entry_fleet fleet(7, kDomains, 20);
+  for (uint64_t id = 1; id <= kServers; ++id) {
+    fleet.SetServer(id, server_state::kReady);
+  }
+  fleet.RunFor(seconds(6));
+  for (size_t i = 0; i < 7; ++i) {
+    if (i % kDomains != 1) fleet.Kill(i);
+  }
+  fleet.servers_down = {1};
+  size_t placed = 0;
+  constexpr uint16_t kFlows = 400;
+  for (uint16_t port = 1; port <= kFlows; ++port) {
+    const steer_decision decision = fleet.OpenAndAnswer(1, port);
+    cr_assert_neq(decision.verdict, steer_verdict::kReset);
+    placed += decision.verdict == steer_verdict::kForward;
+    fleet.RunFor(milliseconds(20));
+  }
+  cr_assert_eq(placed, size_t{kFlows});
+  cr_assert_eq(fleet.State(1)["ready"], true);
+}
+
 // It asked other domains with every refused flow.
 Test(entry_instance, a_cut_makes_no_flood_of_digests) {
   entry_fleet fleet(7, kDomains, 17);
