--- a/unit_tests/steering/entry_instance_test.cc
+++ b/unit_tests/steering/entry_instance_test.cc
@@ -25,6 +25,20 @@
                fleet.Behind(version), static_cast<size_t>(version));
 }
 
+/// From now on no domain hears another one.
+void CutDomains(entry_fleet& fleet) {
+  fleet.is_cut = [](size_t a, size_t b) {
+    return a % kDomains != b % kDomains;
+  };
+}
+
+/// All in the first domain, as the one that the fleet has.
+void AddServers(entry_fleet& fleet, uint64_t count) {
+  for (uint64_t id = 1; id <= count; ++id) {
+    fleet.SetServer(id, server_state::kReady);
+  }
+}
+
 /// Callers open flows through every running instance all the while, and the
 /// only server stays cold.
 class cold_load {
@@ -175,9 +189,7 @@
 Test(entry_instance, each_domain_follows_the_store_while_cut_from_the_others) {
   entry_fleet fleet(kInstances, kDomains, 7);
   fleet.RunFor(seconds(6));
-  fleet.is_cut = [](size_t a, size_t b) {
-    return a % kDomains != b % kDomains;
-  };
+  CutDomains(fleet);
   ExpectInForce(fleet, 2, milliseconds(2800));
   fleet.RunFor(seconds(10));
   ExpectInForce(fleet, 3, milliseconds(2800));
@@ -242,9 +254,7 @@
 Test(entry_instance, behind_a_cut_it_declines_soon_and_refuses_nothing) {
   entry_fleet fleet(7, kDomains, 13);
   fleet.RunFor(seconds(6));
-  fleet.is_cut = [](size_t a, size_t b) {
-    return a % kDomains != b % kDomains;
-  };
+  CutDomains(fleet);
   for (uint16_t port = 1; port <= 40; ++port) {
     cr_assert_neq(fleet.Open(1, port).verdict, steer_verdict::kReset);
     fleet.RunFor(milliseconds(20));
@@ -255,15 +265,10 @@
 // Flows had to find each far server silent by itself before the instance left
 // new ones to other domains; their clients waited for nothing meanwhile.
 Test(entry_instance, knows_of_a_cut_before_each_far_server_was_tried) {
-  constexpr uint64_t kServers = 100;
   entry_fleet fleet(7, kDomains, 19);
-  for (uint64_t id = 1; id <= kServers; ++id) {
-    fleet.SetServer(id, server_state::kReady);
-  }
+  AddServers(fleet, 100);
   fleet.RunFor(seconds(6));
-  fleet.is_cut = [](size_t a, size_t b) {
-    return a % kDomains != b % kDomains;
-  };
+  CutDomains(fleet);
   for (uint16_t port = 1; port <= 40; ++port) {
     cr_assert_neq(fleet.Open(1, port).verdict, steer_verdict::kReset);
     fleet.RunFor(milliseconds(20));
@@ -276,11 +281,8 @@
 // Other domains' instances were lost and their servers were not: those that
 // answer are used all the while, the others again after a test each.
 Test(entry_instance, lost_instances_of_other_domains_are_no_cut) {
-  constexpr uint64_t kServers = 100;
   entry_fleet fleet(7, kDomains, 20);
-  for (uint64_t id = 1; id <= kServers; ++id) {
-    fleet.SetServer(id, server_state::kReady);
-  }
+  AddServers(fleet, 100);
   fleet.RunFor(seconds(6));
   for (size_t i = 0; i < 7; ++i) {
     if (i % kDomains != 1) fleet.Kill(i);
@@ -302,9 +304,7 @@
 Test(entry_instance, a_cut_makes_no_flood_of_digests) {
   entry_fleet fleet(7, kDomains, 17);
   fleet.RunFor(seconds(6));
-  fleet.is_cut = [](size_t a, size_t b) {
-    return a % kDomains != b % kDomains;
-  };
+  CutDomains(fleet);
   fleet.RunFor(seconds(5));
   const size_t start = fleet.digests;
   fleet.RunFor(seconds(5));
