Logs tell the store's epoch and what is not taken from its answers

The logs could not tell whether a list after the store's return was made, dropped or overwritten. store_answer_earlier names an answer that is older than what is held, with both revisions; store_regained the epoch of the answer, read from the header of the store's answers.

No logic is changed.

--- a/poplarstair/catalog/catalog.h
+++ b/poplarstair/catalog/catalog.h
@@ -19,6 +19,11 @@
 /// Number of the store's whole state; grows with each change of any object.
 using store_revision = uint64_t;
 
+/// Counts the store's returns from a copy of its data. Revisions are given out
+/// again after each, so that they order only what belongs to one epoch. 0 from a
+/// store that does not tell it.
+using store_epoch = uint64_t;
+
 /// Identifies the content of a collection, however it was learnt: two states
 /// with the same digest are the same.
 using content_digest = uint64_t;
--- a/poplarstair/catalog/store_call.h
+++ b/poplarstair/catalog/store_call.h
@@ -3,6 +3,7 @@
 #define POPLARSTAIR_CATALOG_STORE_CALL_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -85,6 +86,8 @@
   bool has_more = false;
   /// Objects that are left out, since not even their names could be read.
   std::vector<unreadable_object> nameless = {};
+  /// Nothing if the answer does not tell it, or not readably.
+  std::optional<store_epoch> epoch = {};
 };
 
 using store_hook = std::function<void(store_request)>;
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -85,6 +85,7 @@
     if (is_lost_) {
       actions_.log(log_record("store_regained")
                        .With("collection", NameOf(what_))
+                       .With("epoch", reply.epoch.value_or(0))
                        .With("revision", reply.revision));
       is_lost_ = false;
     }
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -348,12 +348,14 @@
     };
     result.replaced = [this, what](store_revision revision,
                                    const std::vector<store_object>& objects) {
+      NoteEarlier(what, revision);
       if (replica_.Replace(now_, what, revision, objects)) {
         OnCatalogChange(now_, true);
       }
     };
     result.changed = [this, what](store_revision revision,
                                   const std::vector<store_object>& objects) {
+      NoteEarlier(what, revision);
       if (replica_.Change(now_, what, revision, objects)) {
         OnCatalogChange(now_, true);
       }
@@ -364,6 +366,15 @@
     return result;
   }
 
+  /// Logs an answer of the store that is not taken.
+  void NoteEarlier(collection what, store_revision revision) {
+    if (revision >= replica_.Revision(what)) return;
+    actions_.log(log_record("store_answer_earlier")
+                     .With("collection", NameOf(what))
+                     .With("revision", revision)
+                     .With("held", replica_.Revision(what)));
+  }
+
   peer_view::held_state State() const {
     peer_view::held_state state;
     for (const collection what : kAllCollections) {
