A failing test: changes after the store's return from a copy are dropped

The store's fake has a file of its own and can come back from a copy: all that was written after it is lost, revisions are given out again, the epoch of its answers rises, a watch from a revision that it doesn't have finds its history gone. 24 of 24 instances lack a change made 5 s after the return.

--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -12,69 +12,11 @@
 #include <vector>
 
 #include "poplarstair/steering/entry_instance.h"
+#include "poplarstair/testing/catalog_store_fake.h"
 #include "poplarstair/testing/event_queue.h"
 
 namespace poplarstair {
 
-/// The store: answers lists and watches from its history.
-class catalog_store_fake {
- public:
-  void Put(collection what, const std::string& name, object_content content) {
-    Append(what, {name, false, std::move(content)});
-  }
-  void Delete(collection what, const std::string& name) {
-    Append(what, {name, true, {}});
-  }
-
-  store_revision Revision() const { return revision_; }
-
-  store_reply List(const store_request& request) const {
-    store_reply reply{request.id, store_status::kOk, revision_, {}, false};
-    for (const auto& [key, object] : objects_) {
-      if (key.first == request.what) reply.objects.push_back(object);
-    }
-    return reply;
-  }
-
-  /// Empty if nothing has changed since the request's revision.
-  store_reply Changes(const store_request& request) const {
-    store_reply reply{request.id, store_status::kOk, revision_, {}, false};
-    for (const change& c : history_) {
-      if (c.what != request.what) continue;
-      if (c.revision > request.revision) {
-        reply.objects.push_back(c.object);
-      }
-    }
-    return reply;
-  }
-
-  /// Called after each change.
-  std::function<void()> changed;
-
- private:
-  struct change {
-    store_revision revision;
-    collection what;
-    store_object object;
-  };
-
-  void Append(collection what, const store_object& object) {
-    history_.push_back({++revision_, what, object});
-    history_.back().object.revision = revision_;
-    const std::pair key(what, object.name);
-    if (object.is_deleted) {
-      objects_.erase(key);
-    } else {
-      objects_[key] = history_.back().object;
-    }
-    if (changed) changed();
-  }
-
-  store_revision revision_ = 10;
-  std::map<std::pair<collection, std::string>, store_object> objects_;
-  std::vector<change> history_;
-};
-
 class entry_fleet {
  public:
   entry_fleet(size_t instances, size_t domains, uint64_t seed)
@@ -232,6 +174,15 @@
     }
     watches_.clear();
   }
+  /// The store goes away, and comes back with what it held at `copy`. All
+  /// watches are cut off.
+  void ReturnStore(store_revision copy, duration away) {
+    SilenceWatches();
+    is_store_down = true;
+    RunFor(away);
+    is_store_down = false;
+    store.ComeBack(copy);
+  }
   /// True if no message passes between two instances.
   std::function<bool(size_t, size_t)> is_cut = [](size_t, size_t) {
     return false;
@@ -363,12 +314,16 @@
       return Answer(i, owner, list_delay, store.List(request));
     }
     const store_reply changes = store.Changes(request);
-    if (!changes.objects.empty()) return Answer(i, owner, kDelay, changes);
+    if (IsNews(changes)) return Answer(i, owner, kDelay, changes);
     watches_.push_back({i, nodes_[i].get(), request, queue.Now()});
     Later(i, owner, request.wait,
           [this, i, id = request.id](entry_instance&) { EndWatch(i, id); });
   }
 
+  static bool IsNews(const store_reply& reply) {
+    return reply.status != store_status::kOk || !reply.objects.empty();
+  }
+
   void Answer(size_t i, const node* owner, duration delay, store_reply reply) {
     Later(i, owner, delay,
           [this, reply = std::move(reply)](entry_instance& instance) {
@@ -388,7 +343,7 @@
     if (is_store_down) return;
     std::erase_if(watches_, [&](const waiting_watch& w) {
       const store_reply changes = store.Changes(w.request);
-      if (changes.objects.empty() || refused.contains(w.index)) return false;
+      if (!IsNews(changes) || refused.contains(w.index)) return false;
       Answer(w.index, w.owner, kDelay, changes);
       return true;
     });
