--- a/fuzz/store_fuzzer.cc
+++ b/fuzz/store_fuzzer.cc
@@ -26,7 +26,7 @@
           FromStoreAnswer(kNow, request, http_reply{200, {}, body});
       if (reply.status != store_status::kOk) continue;
       catalog_replica replica([](const log_record&) {});
-      replica.Replace(kNow, what, reply.revision, reply.objects);
+      replica.Replace(kNow, what, {0, reply.revision}, reply.objects);
       catalog_replica other([](const log_record&) {});
       other.Import(kNow, what, replica.Export(kNow, what));
     }
--- a/performance_test/bench_steering.cc
+++ b/performance_test/bench_steering.cc
@@ -79,14 +79,15 @@
 void PrintCatalog(size_t servers, uint64_t seed) {
   const time_point now{seconds(100)};
   catalog_replica replica([](const log_record&) {});
-  replica.Replace(now, collection::kServers, 1, MakeServers(servers));
+  replica.Replace(now, collection::kServers, {0, 1}, MakeServers(servers));
   route_table table;
   table.version = 1;
   service_route route;
   route.address = endpoint::Parse("198.18.0.1:443");
   route.services = {{"service1", 1}};
   table.routes = {route};
-  replica.Replace(now, collection::kRoutes, 1, {{"main", false, table, 1}});
+  replica.Replace(now, collection::kRoutes, {0, 1},
+                  {{"main", false, table, 1}});
   const std::string exported = replica.Export(now, collection::kServers);
 
   steering_settings settings;
--- a/poplarstair/catalog/catalog.h
+++ b/poplarstair/catalog/catalog.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "poplarstair/catalog/store_position.h"
 #include "poplarstair/core/endpoint.h"
 #include "poplarstair/core/enum_names.h"
 #include "poplarstair/core/ids.h"
@@ -16,14 +18,6 @@
 
 namespace poplarstair {
 
-/// Number of the store's whole state; grows with each change of any object.
-using store_revision = uint64_t;
-
-/// Counts the store's returns from a copy of its data. Revisions are given out
-/// again after each, so that they order only what belongs to one epoch. 0 from a
-/// store that does not tell it.
-using store_epoch = uint64_t;
-
 /// Identifies the content of a collection, however it was learnt: two states
 /// with the same digest are the same.
 using content_digest = uint64_t;
@@ -141,8 +135,16 @@
   time_point cold_until{};
   /// Wall-clock millisecond of its start; tells one life from the next.
   int64_t born_ms = 0;
+  /// Counts what the server has reported since its start.
+  uint64_t reports = 0;
 };
 
+/// True if the server reported `a` before `b`, whatever the store that was read
+/// and when: a server numbers its own reports.
+inline bool IsEarlierReport(const server_entry& a, const server_entry& b) {
+  return std::tie(a.born_ms, a.reports) < std::tie(b.born_ms, b.reports);
+}
+
 /// Everything that an instance knows from the store.
 struct catalog {
   route_table routes;
--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -1,382 +1,346 @@
 #include "poplarstair/catalog/catalog_replica.h"
 
 #include <algorithm>
-#include <compare>
-#include <map>
-#include <optional>
 #include <utility>
 
-#include "poplarstair/core/codec.h"
 #include "poplarstair/core/hash.h"
 
 namespace poplarstair {
 
 namespace {
 
-// The fields on the wire between instances. Times are sent as what is left of
-// them, since no two instances share a clock.
-
-/// What many routes have in common; sent once.
-struct route_profile_fields {
-  std::vector<std::string> services;
-  std::vector<uint32_t> weights;
-  uint8_t kind = 0;
-  int64_t timeout_us = 0;
-  int64_t latency_target_us = 0;
-  uint32_t priority = 0;
-  MSGPACK_DEFINE(services, weights, kind, timeout_us, latency_target_us,
-                 priority)
-
-  friend auto operator<=>(const route_profile_fields&,
-                          const route_profile_fields&) = default;
-};
-
-struct route_fields {
-  std::string address;
-  /// Index of the profile.
-  uint32_t profile = 0;
-  MSGPACK_DEFINE(address, profile)
-};
-
-struct limits_fields {
-  std::string name;
-  double cold_flows_per_second = 0;
-  uint32_t max_flows = 0;
-  MSGPACK_DEFINE(name, cold_flows_per_second, max_flows)
-};
-
-struct server_fields {
-  std::string name;
-  uint64_t id = 0;
-  std::string service;
-  std::string address;
-  std::string failure_domain;
-  uint8_t state = 0;
-  uint32_t slots = 1;
-  int64_t cold_left_us = 0;
-  int64_t born_ms = 0;
-  MSGPACK_DEFINE(name, id, service, address, failure_domain, state, slots,
-                 cold_left_us, born_ms)
-};
-
-struct unread_fields {
-  std::string name;
-  std::string problem;
-  MSGPACK_DEFINE(name, problem)
-};
-
-struct object_fields {
-  std::string name;
-  store_revision revision = 0;
-  MSGPACK_DEFINE(name, revision)
-};
-
 /// Most removed servers that are remembered for other instances: some hours of
 /// replacements at the largest size that is aimed for.
 constexpr size_t kMostRemoved = 2048;
 
-}  // namespace
+/// A list of the store, in the form in which instances hand it over.
+collection_export ListOf(collection what, store_position position,
+                         const std::vector<store_object>& objects) {
+  collection_export state;
+  state.position = position;
+  for (const store_object& object : objects) {
+    state.objects[object.name] = {position.epoch, object.revision};
+    if (const auto* server = std::get_if<server_entry>(&object.content)) {
+      state.servers[object.name] = *server;
+    } else if (const auto* table = std::get_if<route_table>(&object.content)) {
+      state.routes = *table;
+    }
+  }
+  if (what == collection::kWithdrawals) {
+    for (const auto& [name, read] : state.objects) {
+      state.withdrawn_domains.push_back(name);
+    }
+  }
+  return state;
+}
+
+/// True if the difference is not worth any news: the store tells none if a
+/// server reports the same again.
+bool SaysTheSame(time_point now, const server_entry& a, const server_entry& b) {
+  return a.id == b.id && a.service == b.service && a.address == b.address &&
+         a.failure_domain == b.failure_domain && a.state == b.state &&
+         a.slots == b.slots && a.born_ms == b.born_ms &&
+         (a.cold_until > now) == (b.cold_until > now);
+}
 
-/// One collection; the fields of the others stay empty.
-struct collection_fields {
-  store_revision revision = 0;
-  /// 0: the whole collection; else what has changed after this revision.
-  store_revision since = 0;
-  /// Of the whole collection.
-  content_digest content = 0;
-  uint64_t version = 0;
-  int64_t idle_timeout_us = 0;
-  std::vector<route_profile_fields> profiles;
-  std::vector<route_fields> routes;
-  std::vector<limits_fields> services;
-  std::vector<server_fields> servers;
-  std::vector<std::string> withdrawn_domains;
-  /// Objects, also those that name nothing to use.
-  std::vector<object_fields> objects;
-  /// Names of objects that are gone.
-  std::vector<std::string> removed;
-  /// The collection's number plus one; 0 from instances that do not send it.
-  uint8_t what = 0;
-  /// kVocabularyVersion of the sender; 0 from instances that do not send it.
-  uint32_t vocabulary = 0;
-  std::vector<unread_fields> unread;
-  uint32_t unread_count = 0;
-  MSGPACK_DEFINE(revision, since, content, version, idle_timeout_us, profiles,
-                 routes, services, servers, withdrawn_domains, objects, removed,
-                 what, vocabulary, unread, unread_count)
-};
+const server_entry* FindServer(
+    const std::map<std::string, server_entry>& servers,
+    const std::string& name) {
+  const auto it = servers.find(name);
+  return it == servers.end() ? nullptr : &it->second;
+}
 
-namespace {
+}  // namespace
 
-uint8_t NumberOf(collection what) {
-  return static_cast<uint8_t>(static_cast<uint8_t>(what) + 1);
+bool catalog_replica::IsComplete() const {
+  return std::all_of(positions_.begin(), positions_.end(),
+                     [](store_position p) { return p.revision != 0; });
 }
 
-/// Nothing for an enumerator that only later versions of the program have.
-template <typename Enum>
-std::optional<Enum> KnownEnum(uint8_t value) {
-  if (value >= std::size(enum_names<Enum>::kNames)) return std::nullopt;
-  return static_cast<Enum>(value);
+content_digest catalog_replica::Digest(collection what) const {
+  const content_digest objects = objects_[Index(what)].Digest();
+  if (what != collection::kRoutes) return objects;
+  // The table in force may be a later one than the store has.
+  return HashCombine(objects, catalog_.routes.version);
 }
 
-route_profile_fields ProfileOf(const service_route& route) {
-  route_profile_fields fields;
-  for (const weighted_service& s : route.services) {
-    fields.services.push_back(s.service);
-    fields.weights.push_back(s.weight);
-  }
-  fields.kind = static_cast<uint8_t>(route.kind);
-  fields.timeout_us = route.timeout.count();
-  fields.latency_target_us = route.latency_target.count();
-  fields.priority = route.priority;
-  return fields;
+bool catalog_replica::Replace(time_point now, collection what,
+                              store_position position,
+                              const std::vector<store_object>& objects) {
+  // An older state than a peer has handed over; the watch will catch up.
+  if (position < Position(what)) return false;
+  for (const store_object& object : objects) {
+    const auto* bad = std::get_if<unreadable_object>(&object.content);
+    if (bad != nullptr) LogUnreadable(what, object.name, *bad);
+  }
+  collection_export list = ListOf(what, position, objects);
+  list.kept_for = settings_.written_again_time;
+  TakeWhole(now, what, list);
+  needs_own_reading_[Index(what)] = false;
+  return true;
 }
 
-void PackRoutes(const route_table& table, collection_fields& fields) {
-  fields.version = table.version;
-  fields.idle_timeout_us = table.idle_timeout.count();
-  std::map<route_profile_fields, uint32_t> known;
-  for (const service_route& route : table.routes) {
-    const auto next = static_cast<uint32_t>(fields.profiles.size());
-    const auto [it, is_new] = known.try_emplace(ProfileOf(route), next);
-    if (is_new) fields.profiles.push_back(it->first);
-    fields.routes.push_back({route.address.Pack(), it->second});
-  }
-  for (const service_limits& s : table.services) {
-    fields.services.push_back({s.name, s.cold_flows_per_second, s.max_flows});
+void catalog_replica::TakeWhole(time_point now, collection what,
+                                const collection_export& state) {
+  const store_position held = Position(what);
+  const bool is_return =
+      held.revision != 0 && state.position.epoch != held.epoch;
+  const bool has_kept = std::any_of(
+      state.objects.begin(), state.objects.end(), [&](const auto& object) {
+        return object.second.epoch != state.position.epoch;
+      });
+  if (is_return || has_kept) {
+    time_point& until = kept_until_[Index(what)];
+    until = std::max(
+        until, now + std::min(state.kept_for, settings_.written_again_time));
   }
-  for (const unread_part& part : table.unread) {
-    fields.unread.push_back({part.name, part.problem});
+  switch (what) {
+    case collection::kRoutes:
+      objects_[Index(what)].Clear();
+      for (const auto& [name, read] : state.objects) {
+        objects_[Index(what)].Set(name, read);
+      }
+      // Without a table that can be read, the one in force stays.
+      if (state.routes.version != 0 || catalog_.routes.version == 0) {
+        TakeRoutes(state.routes);
+      }
+      break;
+    case collection::kServers:
+      TakeServers(now, state);
+      break;
+    case collection::kWithdrawals:
+      TakeWithdrawals(now, state);
+      break;
   }
-  fields.unread_count = table.unread_count;
+  SetPosition(what, state.position);
+  needs_whole_[Index(what)] = false;
 }
 
-/// A kind of request that is not known here is noted in `table`.
-service_route UnpackProfile(const route_profile_fields& fields,
-                            route_table& table) {
-  if (fields.services.size() != fields.weights.size()) {
-    throw malformed_message("catalog", "services and weights of a route");
-  }
-  service_route route;
-  for (size_t i = 0; i < fields.services.size(); ++i) {
-    route.services.push_back({fields.services[i], fields.weights[i]});
-  }
-  const auto kind = KnownEnum<request_kind>(fields.kind);
-  if (!kind) {
-    table.AddUnread({"kind of request " + std::to_string(fields.kind),
-                     "unknown: never repeated"});
-  }
-  route.kind = kind.value_or(request_kind::kNotIdempotent);
-  route.timeout = duration(fields.timeout_us);
-  route.latency_target = duration(fields.latency_target_us);
-  route.priority = fields.priority;
-  return route;
-}
-
-route_table UnpackRoutes(const collection_fields& fields) {
-  route_table table;
-  table.version = fields.version;
-  table.idle_timeout = duration(fields.idle_timeout_us);
-  for (const unread_fields& part : fields.unread) {
-    table.AddUnread({part.name, part.problem});
-  }
-  table.unread_count = std::max(table.unread_count, fields.unread_count);
-  std::vector<service_route> profiles;
-  for (const route_profile_fields& p : fields.profiles) {
-    profiles.push_back(UnpackProfile(p, table));
-  }
-  for (const route_fields& r : fields.routes) {
-    if (r.profile >= profiles.size()) {
-      throw malformed_message("catalog", "profile of a route");
+void catalog_replica::TakeServers(time_point now,
+                                  const collection_export& state) {
+  constexpr collection kWhat = collection::kServers;
+  if (changes_from_.epoch != state.position.epoch ||
+      changes_from_.revision == 0) {
+    changes_from_ = state.position;
+  }
+  const bool is_keeping = IsKeeping(now, kWhat);
+  size_t kept = 0;
+  const auto held_servers = std::exchange(catalog_.servers, {});
+  const auto held = objects_[Index(kWhat)].Clear();
+  doubted_servers_.clear();
+  for (const auto& [name, read] : state.objects) {
+    const server_entry* offered = FindServer(state.servers, name);
+    const server_entry* known = FindServer(held_servers, name);
+    if (is_keeping && known != nullptr &&
+        IsLaterReport(now, {held.at(name), *known}, read, offered)) {
+      SetServer(name, held.at(name), known);
+      ++kept;
+    } else if (is_keeping && IsOfRemoved(name, read, offered)) {
+      doubted_servers_[name] = {read, *offered};
+    } else {
+      SetServer(name, read, offered);
     }
-    table.routes.push_back(profiles[r.profile]);
-    table.routes.back().address = endpoint::Unpack(r.address);
   }
-  for (const limits_fields& s : fields.services) {
-    table.services.push_back({s.name, s.cold_flows_per_second, s.max_flows});
-  }
-  return table;
+  for (const auto& [name, read] : held) {
+    if (state.objects.contains(name)) continue;
+    const server_entry* known = FindServer(held_servers, name);
+    if (is_keeping && known != nullptr && read.epoch < state.position.epoch) {
+      SetServer(name, read, known);
+      ++kept;
+      continue;
+    }
+    removed_servers_[name] = {state.position,
+                              known == nullptr ? server_entry{} : *known};
+  }
+  if (kept == 0 && doubted_servers_.empty()) return;
+  doubted_until_ = kept_until_[Index(kWhat)] - settings_.written_again_time +
+                   settings_.silent_entry_time;
+  log_(log_record("servers_kept_over_return")
+           .With("epoch", state.position.epoch)
+           .With("revision", state.position.revision)
+           .With("kept", kept)
+           .With("doubted", doubted_servers_.size()));
 }
 
-server_fields PackServer(time_point now, const std::string& name,
-                         const server_entry& server) {
-  const duration cold_left =
-      std::max(duration::zero(), server.cold_until - now);
-  return {name,
-          server.id.Value(),
-          server.service,
-          server.address.Pack(),
-          server.failure_domain,
-          static_cast<uint8_t>(server.state),
-          server.slots,
-          cold_left.count(),
-          server.born_ms};
+bool catalog_replica::IsLaterReport(time_point now, const read_entry& held,
+                                    store_position offered_at,
+                                    const server_entry* offered) const {
+  return offered != nullptr && held.read.epoch != offered_at.epoch &&
+         IsEarlierReport(*offered, held.entry) &&
+         !SaysTheSame(now, *offered, held.entry);
 }
 
-/// Nothing for a server in a state that is not known here: it gets no flows.
-std::optional<server_entry> UnpackServer(time_point now,
-                                         const server_fields& fields) {
-  const auto state = KnownEnum<server_state>(fields.state);
-  if (!state) return std::nullopt;
-  server_entry server;
-  server.id = backend_server_id(fields.id);
-  server.service = fields.service;
-  server.address = endpoint::Unpack(fields.address);
-  server.failure_domain = fields.failure_domain;
-  server.state = *state;
-  server.slots = fields.slots;
-  server.cold_until = now + duration(fields.cold_left_us);
-  server.born_ms = fields.born_ms;
-  return server;
+bool catalog_replica::IsOfRemoved(const std::string& name,
+                                  store_position offered_at,
+                                  const server_entry* offered) const {
+  const auto removed = removed_servers_.find(name);
+  return offered != nullptr && removed != removed_servers_.end() &&
+         removed->second.read.epoch < offered_at.epoch &&
+         !IsEarlierReport(removed->second.entry, *offered);
 }
 
-}  // namespace
-
-bool catalog_replica::IsComplete() const {
-  return std::all_of(revisions_.begin(), revisions_.end(),
-                     [](store_revision r) { return r != 0; });
+void catalog_replica::TakeWithdrawals(time_point now,
+                                      const collection_export& state) {
+  constexpr collection kWhat = collection::kWithdrawals;
+  std::vector<std::string> domains = state.withdrawn_domains;
+  const auto held = objects_[Index(kWhat)].Clear();
+  for (const auto& [name, read] : state.objects) {
+    objects_[Index(kWhat)].Set(name, read);
+  }
+  for (const auto& [name, read] : held) {
+    if (!IsKeeping(now, kWhat) || state.objects.contains(name) ||
+        read.epoch >= state.position.epoch) {
+      continue;
+    }
+    objects_[Index(kWhat)].Set(name, read);
+    domains.push_back(name);
+    log_(log_record("withdrawal_kept_over_return")
+             .With("domain", name)
+             .With("epoch", state.position.epoch)
+             .With("revision", state.position.revision));
+  }
+  SetWithdrawn(std::move(domains), state.position);
 }
 
-bool catalog_replica::Replace(time_point /*now*/, collection what,
-                              store_revision revision,
-                              const std::vector<store_object>& objects) {
-  // An older state than a peer has handed over; the watch will catch up.
-  if (revision < Revision(what)) return false;
-  if (what == collection::kServers) catalog_.servers.clear();
-  std::vector<std::string> withdrawn;
-  if (what == collection::kWithdrawals) {
-    withdrawn = std::exchange(catalog_.withdrawn_domains, {});
-  }
-  const object_revisions before = ClearObjects(what);
-  for (const store_object& object : objects) Apply(what, object, revision);
-  returned_.Note(withdrawn, catalog_.withdrawn_domains, revision);
-  NoteRemoved(what, before, revision);
-  SetRevision(what, revision);
-  needs_own_reading_[static_cast<size_t>(what)] = false;
-  return true;
+void catalog_replica::SetWithdrawn(std::vector<std::string> domains,
+                                   store_position position) {
+  std::sort(domains.begin(), domains.end());
+  const std::vector<std::string> before =
+      std::exchange(catalog_.withdrawn_domains, std::move(domains));
+  const std::vector<std::string>& after = catalog_.withdrawn_domains;
+  for (const std::string& domain : after) {
+    if (std::binary_search(before.begin(), before.end(), domain)) continue;
+    log_(log_record("domain_withdrawn").With("domain", domain));
+  }
+  for (const std::string& domain : before) {
+    if (std::binary_search(after.begin(), after.end(), domain)) continue;
+    log_(log_record("domain_returned").With("domain", domain));
+  }
+  returned_.Note(before, after, position);
 }
 
 bool catalog_replica::Change(time_point /*now*/, collection what,
-                             store_revision revision,
+                             store_position position,
                              const std::vector<store_object>& objects) {
-  if (revision <= Revision(what)) return false;
-  const std::vector<std::string> withdrawn = catalog_.withdrawn_domains;
-  for (const store_object& object : objects) Apply(what, object, revision);
-  returned_.Note(withdrawn, catalog_.withdrawn_domains, revision);
-  SetRevision(what, revision);
+  const store_position held = Position(what);
+  if (position.epoch != held.epoch || position <= held) return false;
+  for (const store_object& object : objects) Apply(what, object, position);
+  SetPosition(what, position);
   return true;
 }
 
-bool catalog_replica::Raise(collection what, store_revision revision) {
-  const bool is_whole = !needs_whole_[static_cast<size_t>(what)];
-  if (Revision(what) == 0 || revision <= Revision(what) || !is_whole) {
+bool catalog_replica::Raise(time_point now, collection what,
+                            store_position position) {
+  const store_position held = Position(what);
+  if (held.revision == 0 || position <= held || needs_whole_[Index(what)]) {
     return false;
   }
+  if (position.epoch != held.epoch) {
+    kept_until_[Index(what)] = now + settings_.written_again_time;
+  }
   const size_t before = catalog_.unconfirmed_domains.size();
-  SetRevision(what, revision);
+  SetPosition(what, position);
   return catalog_.unconfirmed_domains.size() != before;
 }
 
-void catalog_replica::SetRevision(collection what, store_revision revision) {
-  revisions_[static_cast<size_t>(what)] = revision;
+void catalog_replica::SetPosition(collection what, store_position position) {
+  positions_[Index(what)] = position;
   catalog_.unconfirmed_domains =
-      returned_.Unconfirmed(Revision(collection::kServers));
+      returned_.Unconfirmed(Position(collection::kServers));
 }
 
-void catalog_replica::SetObject(collection what, const std::string& name,
-                                store_revision revision) {
-  const auto [it, is_new] =
-      objects_[static_cast<size_t>(what)].try_emplace(name, revision);
-  content_digest& digest = digests_[static_cast<size_t>(what)];
-  const uint64_t key = HashBytes(name);
-  if (!is_new) digest ^= HashCombine(key, it->second);
-  it->second = revision;
-  digest ^= HashCombine(key, revision);
-  if (what == collection::kServers) removed_servers_.erase(name);
+void catalog_replica::SetServer(const std::string& name, store_position read,
+                                const server_entry* entry) {
+  objects_[Index(collection::kServers)].Set(name, read);
+  removed_servers_.erase(name);
+  doubted_servers_.erase(name);
+  if (entry == nullptr) {
+    // What can't be read names no server, even where a readable entry stood.
+    catalog_.servers.erase(name);
+  } else {
+    catalog_.servers[name] = *entry;
+  }
 }
 
-void catalog_replica::DropObject(collection what, const std::string& name,
-                                 store_revision revision) {
-  auto& objects = objects_[static_cast<size_t>(what)];
-  const auto it = objects.find(name);
-  if (it == objects.end()) return;
-  digests_[static_cast<size_t>(what)] ^=
-      HashCombine(HashBytes(name), it->second);
-  objects.erase(it);
-  if (what != collection::kServers) return;
-  removed_servers_[name] = revision;
+void catalog_replica::DropServer(const std::string& name,
+                                 store_position position) {
+  doubted_servers_.erase(name);
+  if (!objects_[Index(collection::kServers)].Drop(name)) return;
+  const server_entry* known = FindServer(catalog_.servers, name);
+  removed_servers_[name] = {position,
+                            known == nullptr ? server_entry{} : *known};
+  catalog_.servers.erase(name);
   if (removed_servers_.size() <= kMostRemoved) return;
   removed_servers_.clear();
-  changes_from_ = revision;
-}
-
-catalog_replica::object_revisions catalog_replica::ClearObjects(
-    collection what) {
-  digests_[static_cast<size_t>(what)] = 0;
-  return std::exchange(objects_[static_cast<size_t>(what)], {});
+  changes_from_ = position;
 }
 
-void catalog_replica::NoteRemoved(collection what,
-                                  const object_revisions& before,
-                                  store_revision revision) {
-  if (what != collection::kServers) return;
-  if (changes_from_ == 0) changes_from_ = revision;
-  for (const auto& [name, last] : before) {
-    if (objects_[static_cast<size_t>(what)].contains(name)) continue;
-    removed_servers_[name] = revision;
+void catalog_replica::Apply(collection what, const store_object& object,
+                            store_position position) {
+  const store_position read{position.epoch, object.revision};
+  if (const auto* bad = std::get_if<unreadable_object>(&object.content)) {
+    LogUnreadable(what, object.name, *bad);
   }
+  if (what == collection::kServers) {
+    if (object.is_deleted) return DropServer(object.name, position);
+    const auto* entry = std::get_if<server_entry>(&object.content);
+    return SetServer(object.name, read, entry);
+  }
+  object_index& index = objects_[Index(what)];
+  if (object.is_deleted) {
+    index.Drop(object.name);
+  } else {
+    index.Set(object.name, read);
+  }
+  if (what == collection::kRoutes) {
+    const auto* routes = std::get_if<route_table>(&object.content);
+    if (routes != nullptr) TakeRoutes(*routes);
+    return;
+  }
+  std::vector<std::string> domains = catalog_.withdrawn_domains;
+  std::erase(domains, object.name);
+  if (!object.is_deleted) domains.push_back(object.name);
+  SetWithdrawn(std::move(domains), position);
 }
 
-void catalog_replica::Apply(collection what, const store_object& object,
-                            store_revision revision) {
-  if (object.is_deleted) {
-    DropObject(what, object.name, revision);
-    return Erase(what, object.name);
+bool catalog_replica::OnTick(time_point now) {
+  bool is_changed = false;
+  for (const collection what :
+       {collection::kServers, collection::kWithdrawals}) {
+    time_point& until = kept_until_[Index(what)];
+    if (until == time_point{} || now < until) continue;
+    until = time_point{};
+    const content_digest before = Digest(what);
+    EndKeeping(what);
+    is_changed = is_changed || Digest(what) != before;
+  }
+  if (doubted_servers_.empty() || now < doubted_until_) return is_changed;
+  for (const auto& [name, known] : std::exchange(doubted_servers_, {})) {
+    SetServer(name, known.read, &known.entry);
   }
-  SetObject(what, object.name, object.revision);
-  Take(what, object);
+  return true;
 }
 
-void catalog_replica::Take(collection what, const store_object& object) {
-  if (const auto* bad = std::get_if<unreadable_object>(&object.content)) {
-    log_(log_record("store_object_unreadable", log_level::kWarning)
+void catalog_replica::EndKeeping(collection what) {
+  const store_position position = Position(what);
+  const object_index::positions held = objects_[Index(what)].All();
+  std::vector<std::string> domains = catalog_.withdrawn_domains;
+  for (const auto& [name, read] : held) {
+    if (read.epoch == position.epoch) continue;
+    log_(log_record("not_written_again")
              .With("collection", NameOf(what))
-             .With("name", object.name)
-             .With("problem", bad->problem));
-    // What can't be read names no server, even where a readable entry stood.
-    if (what == collection::kServers) catalog_.servers.erase(object.name);
-    return;
-  }
-  switch (what) {
-    case collection::kRoutes:
-      if (const auto* routes = std::get_if<route_table>(&object.content)) {
-        TakeRoutes(*routes);
-      }
-      return;
-    case collection::kServers:
-      if (const auto* server = std::get_if<server_entry>(&object.content)) {
-        catalog_.servers[object.name] = *server;
-      }
-      return;
-    case collection::kWithdrawals: {
-      auto& domains = catalog_.withdrawn_domains;
-      const auto at =
-          std::lower_bound(domains.begin(), domains.end(), object.name);
-      if (at == domains.end() || *at != object.name) {
-        domains.insert(at, object.name);
-        log_(log_record("domain_withdrawn").With("domain", object.name));
-      }
-      return;
+             .With("name", name)
+             .With("epoch", position.epoch));
+    if (what == collection::kServers) {
+      DropServer(name, position);
+    } else {
+      objects_[Index(what)].Drop(name);
+      std::erase(domains, name);
     }
   }
-}
-
-void catalog_replica::Erase(collection what, const std::string& name) {
-  if (what == collection::kServers) catalog_.servers.erase(name);
   if (what != collection::kWithdrawals) return;
-  if (std::erase(catalog_.withdrawn_domains, name) > 0) {
-    log_(log_record("domain_returned").With("domain", name));
-  }
+  SetWithdrawn(std::move(domains), position);
+  SetPosition(what, position);
 }
 
 bool catalog_replica::TakeRoutes(const route_table& routes) {
@@ -409,115 +373,90 @@
   }
 }
 
+void catalog_replica::LogUnreadable(collection what, const std::string& name,
+                                    const unreadable_object& object) {
+  log_(log_record("store_object_unreadable", log_level::kWarning)
+           .With("collection", NameOf(what))
+           .With("name", name)
+           .With("problem", object.problem));
+}
+
 std::string catalog_replica::Export(time_point now, collection what,
-                                    store_revision since) const {
-  collection_fields fields;
-  fields.revision = Revision(what);
-  fields.content = Digest(what);
-  fields.what = NumberOf(what);
-  fields.vocabulary = kVocabularyVersion;
+                                    store_position since) const {
+  collection_export state;
+  state.position = Position(what);
+  state.content = Digest(what);
+  if (IsKeeping(now, what)) state.kept_for = kept_until_[Index(what)] - now;
   // The other collections are small, or a single object.
-  const bool knows_changes = what == collection::kServers && since != 0 &&
-                             since >= changes_from_ && since <= fields.revision;
-  if (knows_changes) fields.since = since;
-  for (const auto& [name, revision] : objects_[static_cast<size_t>(what)]) {
-    if (revision > fields.since) fields.objects.push_back({name, revision});
-  }
-  switch (what) {
-    case collection::kRoutes:
-      PackRoutes(catalog_.routes, fields);
-      break;
-    case collection::kServers:
-      for (const object_fields& object : fields.objects) {
-        const auto it = catalog_.servers.find(object.name);
-        if (it == catalog_.servers.end()) continue;
-        fields.servers.push_back(PackServer(now, it->first, it->second));
-      }
-      break;
-    case collection::kWithdrawals:
-      fields.withdrawn_domains = catalog_.withdrawn_domains;
-      break;
+  const bool knows_changes = what == collection::kServers &&
+                             since.revision != 0 &&
+                             since.epoch == state.position.epoch &&
+                             since >= changes_from_ && since <= state.position;
+  if (knows_changes) state.since = since.revision;
+  const auto is_told = [&](store_position changed_at) {
+    return !knows_changes || changed_at > since;
+  };
+  for (const auto& [name, read] : objects_[Index(what)].All()) {
+    if (!is_told(read)) continue;
+    state.objects[name] = read;
+    if (what != collection::kServers) continue;
+    const server_entry* server = FindServer(catalog_.servers, name);
+    if (server != nullptr) state.servers[name] = *server;
+  }
+  if (what == collection::kRoutes) state.routes = catalog_.routes;
+  if (what == collection::kWithdrawals) {
+    state.withdrawn_domains = catalog_.withdrawn_domains;
   }
-  if (fields.since != 0) {
-    for (const auto& [name, revision] : removed_servers_) {
-      if (revision > fields.since) fields.removed.push_back(name);
+  if (knows_changes) {
+    for (const auto& [name, removed] : removed_servers_) {
+      if (is_told(removed.read)) state.removed.push_back(name);
     }
   }
-  return EncodeMessage(fields);
+  return EncodeCollection(now, what, state);
 }
 
-bool catalog_replica::ImportChanges(time_point now,
-                                    const collection_fields& fields) {
+bool catalog_replica::TakeChanges(const collection_export& state) {
   constexpr collection kWhat = collection::kServers;
-  if (fields.since > Revision(kWhat)) return false;
-  for (const std::string& name : fields.removed) {
-    DropObject(kWhat, name, fields.revision);
-    catalog_.servers.erase(name);
+  const store_position held = Position(kWhat);
+  if (state.position.epoch != held.epoch || state.since > held.revision) {
+    return false;
   }
-  for (const object_fields& o : fields.objects) {
-    SetObject(kWhat, o.name, o.revision);
-    catalog_.servers.erase(o.name);
+  for (const std::string& name : state.removed) {
+    DropServer(name, state.position);
   }
-  for (const server_fields& s : fields.servers) {
-    if (const auto server = UnpackServer(now, s)) {
-      catalog_.servers[s.name] = *server;
-    }
+  for (const auto& [name, read] : state.objects) {
+    SetServer(name, read, FindServer(state.servers, name));
   }
-  if (Digest(kWhat) == fields.content) {
-    SetRevision(kWhat, fields.revision);
+  if (Digest(kWhat) == state.content) {
+    SetPosition(kWhat, state.position);
     return true;
   }
   // What is held is no state that the other instance knows: its whole
-  // collection replaces it. The revision stays, so that this is still due.
-  needs_whole_[static_cast<size_t>(kWhat)] = true;
+  // collection replaces it. The position stays, so that this is still due.
+  needs_whole_[Index(kWhat)] = true;
   log_(log_record("catalog_changes_do_not_fit", log_level::kWarning)
-           .With("since", fields.since)
-           .With("revision", fields.revision));
+           .With("epoch", state.position.epoch)
+           .With("since", state.since)
+           .With("revision", state.position.revision));
   return true;
 }
 
 bool catalog_replica::Import(time_point now, collection what,
                              std::string_view exported) {
-  const auto fields = DecodeMessage<collection_fields>(exported);
-  // An answer that arrived late, on a connection that was in use again.
-  if (fields.what != 0 && fields.what != NumberOf(what)) {
-    throw malformed_message("catalog", "another collection");
-  }
-  if (fields.revision <= Revision(what)) return false;
-  if (fields.since != 0) {
-    if (what != collection::kServers) {
-      throw malformed_message("catalog", "changes of a whole collection");
-    }
-    return ImportChanges(now, fields);
-  }
-  switch (what) {
-    case collection::kRoutes:
-      if (!TakeRoutes(UnpackRoutes(fields))) return false;
-      break;
-    case collection::kServers: {
-      std::map<std::string, server_entry> servers;
-      for (const server_fields& s : fields.servers) {
-        if (const auto server = UnpackServer(now, s)) servers[s.name] = *server;
-      }
-      catalog_.servers = std::move(servers);
-      break;
-    }
-    case collection::kWithdrawals: {
-      const std::vector<std::string> before =
-          std::exchange(catalog_.withdrawn_domains, fields.withdrawn_domains);
-      returned_.Note(before, catalog_.withdrawn_domains, fields.revision);
-      break;
-    }
-  }
-  const object_revisions before = ClearObjects(what);
-  for (const object_fields& o : fields.objects) {
-    SetObject(what, o.name, o.revision);
-  }
-  NoteRemoved(what, before, fields.revision);
-  SetRevision(what, fields.revision);
-  needs_whole_[static_cast<size_t>(what)] = false;
-  needs_own_reading_[static_cast<size_t>(what)] =
-      fields.vocabulary < kVocabularyVersion;
+  const collection_export state = DecodeCollection(now, what, exported);
+  const bool is_newer = state.position > Position(what);
+  // An instance that has read the store since its return may lack a version
+  // that another one knew before.
+  const bool has_later_routes = what == collection::kRoutes &&
+                                state.routes.version > catalog_.routes.version;
+  if (!is_newer && !has_later_routes) return false;
+  if (state.since != 0) return TakeChanges(state);
+  if (is_newer) {
+    TakeWhole(now, what, state);
+  } else {
+    TakeRoutes(state.routes);
+  }
+  needs_own_reading_[Index(what)] = state.vocabulary < kVocabularyVersion;
   return true;
 }
 
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -8,99 +8,138 @@
 #include <string_view>
 #include <vector>
 
+#include "poplarstair/catalog/collection_codec.h"
+#include "poplarstair/catalog/object_index.h"
 #include "poplarstair/catalog/returned_domains.h"
 #include "poplarstair/catalog/store_call.h"
 #include "poplarstair/core/log_record.h"
 
 namespace poplarstair {
 
-struct collection_fields;
+struct replica_settings {
+  /// How long what was known before the store's return is kept while its
+  /// writers write it again: the platform promises some two seconds, and the
+  /// rest is for the way of the news.
+  duration written_again_time = std::chrono::milliseconds(2500);
+  /// After the store's return an entry of a server that had been removed is its
+  /// server's own if the store still has it after this long: by then it removes
+  /// those of servers that do not report.
+  duration silent_entry_time = std::chrono::milliseconds(3600);
+};
 
-/// Each collection has the store's revision that it is the state of. A
-/// revision only grows, and so does the version of the routes, whoever hands
-/// over what.
+/// Each collection has the store's position that it is the state of. A position
+/// only grows, and so does the version of the routes, whoever hands over what.
+///
+/// A store that has come back from a copy lacks what was written last, until
+/// the operator and the servers have written it again. Their own numbers tell
+/// what is the later word: the version of the routes, and the reports of a
+/// server. What the store lacks is kept for `written_again_time`.
 class catalog_replica {
  public:
-  explicit catalog_replica(log_hook log) : log_(std::move(log)) {}
+  explicit catalog_replica(log_hook log, const replica_settings& settings = {})
+      : log_(std::move(log)), settings_(settings) {}
 
   // All return true if the copy is another one now.
 
   /// The whole collection from the store.
-  bool Replace(time_point now, collection what, store_revision revision,
+  bool Replace(time_point now, collection what, store_position position,
                const std::vector<store_object>& objects);
-  /// Changes from the store.
-  bool Change(time_point now, collection what, store_revision revision,
+  /// Changes from the store; ignored unless what is held is of the same epoch.
+  bool Change(time_point now, collection what, store_position position,
               const std::vector<store_object>& objects);
   /// What Export gave at another instance; ignored if it is not newer. Throws
   /// malformed_message.
   bool Import(time_point now, collection what, std::string_view exported);
 
-  /// The collection for another instance that holds the state of revision
-  /// `since`, 0 for none: what has changed after it, or the whole where that is
+  /// The collection for another instance that holds the state of `since`,
+  /// revision 0 for none: what has changed after it, or the whole where that is
   /// not known any more.
   std::string Export(time_point now, collection what,
-                     store_revision since = 0) const;
-  /// The revision to ask another instance for changes since; 0 asks for the
-  /// whole, after changes that did not fit.
-  store_revision FetchSince(collection what) const {
-    return needs_whole_[static_cast<size_t>(what)] ? 0 : Revision(what);
+                     store_position since = {}) const;
+  /// The position to ask another instance for changes since; revision 0 asks
+  /// for the whole, after changes that did not fit.
+  store_position FetchSince(collection what) const {
+    return needs_whole_[Index(what)] ? store_position{} : Position(what);
   }
 
   const catalog& Current() const { return catalog_; }
-  /// 0 if nothing is known.
-  store_revision Revision(collection what) const {
-    return revisions_[static_cast<size_t>(what)];
+  /// Revision 0 if nothing is known.
+  store_position Position(collection what) const {
+    return positions_[Index(what)];
   }
-  /// The same for the same content, whatever the revision that it was read at:
+  /// The same for the same content, whatever the position that it was read at:
   /// the store counts one revision for all its objects.
-  content_digest Digest(collection what) const {
-    return digests_[static_cast<size_t>(what)];
-  }
-  /// The content is also the state of this later revision. True if a domain's
+  content_digest Digest(collection what) const;
+  /// The content is also the state of this later position. True if a domain's
   /// servers are confirmed by that.
-  bool Raise(collection what, store_revision revision);
+  bool Raise(time_point now, collection what, store_position position);
+  /// Ends what was kept or doubted after the store's return.
+  bool OnTick(time_point now);
   /// True if every collection is known.
   bool IsComplete() const;
   /// True if the collection came from an instance with an earlier version of
   /// the program, which may not be able to read all of it.
   bool NeedsOwnReading(collection what) const {
-    return needs_own_reading_[static_cast<size_t>(what)];
+    return needs_own_reading_[Index(what)];
   }
 
  private:
-  void Apply(collection what, const store_object& object,
-             store_revision revision);
-  void Take(collection what, const store_object& object);
-  void Erase(collection what, const std::string& name);
-  /// Notes an object's revision in the digest.
-  void SetObject(collection what, const std::string& name,
-                 store_revision revision);
-  /// Notes that an object is gone, as of the collection's revision.
-  void DropObject(collection what, const std::string& name,
-                  store_revision revision);
-  using object_revisions = std::map<std::string, store_revision>;
-  /// Empties the collection's objects and returns them.
-  object_revisions ClearObjects(collection what);
-  /// Notes what of `before` is gone.
-  void NoteRemoved(collection what, const object_revisions& before,
-                   store_revision revision);
-  bool ImportChanges(time_point now, const collection_fields& fields);
+  /// A server's entry and the position of its last change.
+  struct read_entry {
+    store_position read;
+    server_entry entry;
+  };
+  using read_entries = std::map<std::string, read_entry>;
+
+  static size_t Index(collection what) { return static_cast<size_t>(what); }
+
+  /// Replaces a collection by `state`, but for what is kept.
+  void TakeWhole(time_point now, collection what,
+                 const collection_export& state);
+  void TakeServers(time_point now, const collection_export& state);
+  void TakeWithdrawals(time_point now, const collection_export& state);
   bool TakeRoutes(const route_table& routes);
+  bool TakeChanges(const collection_export& state);
+  void Apply(collection what, const store_object& object,
+             store_position position);
+  void SetServer(const std::string& name, store_position read,
+                 const server_entry* entry);
+  void DropServer(const std::string& name, store_position position);
+  /// True if the entry was read in an earlier epoch and its server has reported
+  /// it later than the one that is offered now.
+  bool IsLaterReport(time_point now, const read_entry& held,
+                     store_position offered_at,
+                     const server_entry* offered) const;
+  /// True if the store told in an earlier epoch that the server was gone, after
+  /// it had reported what is offered now.
+  bool IsOfRemoved(const std::string& name, store_position offered_at,
+                   const server_entry* offered) const;
+  bool IsKeeping(time_point now, collection what) const {
+    return now < kept_until_[Index(what)];
+  }
+  void EndKeeping(collection what);
+  void SetWithdrawn(std::vector<std::string> domains, store_position position);
+  void SetPosition(collection what, store_position position);
   void LogUnread(const route_table& routes);
-  /// Updates catalog::unconfirmed_domains too.
-  void SetRevision(collection what, store_revision revision);
+  void LogUnreadable(collection what, const std::string& name,
+                     const unreadable_object& object);
 
   const log_hook log_;
+  const replica_settings settings_;
   catalog catalog_;
-  std::array<store_revision, kCollections> revisions_{};
-  std::array<content_digest, kCollections> digests_{};
+  std::array<store_position, kCollections> positions_{};
+  std::array<object_index, kCollections> objects_;
+  /// Until when objects that were read in an earlier epoch are kept.
+  std::array<time_point, kCollections> kept_until_{};
   returned_domains returned_;
-  /// Revision of each object.
-  std::array<object_revisions, kCollections> objects_;
-  /// Servers that are gone, with the revision by which they were.
-  object_revisions removed_servers_;
-  /// Changes of servers are known from this revision on.
-  store_revision changes_from_ = 0;
+  /// Servers that are gone, with the position by which they were and what they
+  /// had reported last.
+  read_entries removed_servers_;
+  /// Entries of such servers that the store lists again after its return.
+  read_entries doubted_servers_;
+  time_point doubted_until_{};
+  /// Changes of servers are known from this position on.
+  store_position changes_from_;
   std::array<bool, kCollections> needs_whole_{};
   std::array<bool, kCollections> needs_own_reading_{};
 };
--- /dev/null
+++ b/poplarstair/catalog/collection_codec.h
@@ -0,0 +1,44 @@
+// What one instance hands another of a collection, and its form on the wire.
+#ifndef POPLARSTAIR_CATALOG_COLLECTION_CODEC_H_
+#define POPLARSTAIR_CATALOG_COLLECTION_CODEC_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "poplarstair/catalog/catalog.h"
+#include "poplarstair/core/time.h"
+
+namespace poplarstair {
+
+/// One collection; the content of the others stays empty.
+struct collection_export {
+  store_position position;
+  /// 0: the whole collection; else what has changed after this revision of the
+  /// same epoch.
+  store_revision since = 0;
+  /// Of the whole collection.
+  content_digest content = 0;
+  route_table routes;
+  std::map<std::string, server_entry> servers;
+  std::vector<std::string> withdrawn_domains;
+  /// Objects, also those that name nothing to use.
+  std::map<std::string, store_position> objects;
+  /// Names of objects that are gone.
+  std::vector<std::string> removed;
+  /// For how long what was known before the store's return is still kept.
+  duration kept_for = duration::zero();
+  /// kVocabularyVersion of the sender; 0 from instances that do not send it.
+  uint32_t vocabulary = kVocabularyVersion;
+};
+
+std::string EncodeCollection(time_point now, collection what,
+                             const collection_export& state);
+/// Throws malformed_message, also for another collection than `what`.
+collection_export DecodeCollection(time_point now, collection what,
+                                   std::string_view bytes);
+
+}  // namespace poplarstair
+
+#endif  // POPLARSTAIR_CATALOG_COLLECTION_CODEC_H_
--- a/poplarstair/catalog/returned_domains.h
+++ b/poplarstair/catalog/returned_domains.h
@@ -14,34 +14,34 @@
 
 class returned_domains {
  public:
-  /// Compares the withdrawn domains, both sorted, before and as of `revision`.
+  /// Compares the withdrawn domains, both sorted, before and as of `position`.
   void Note(const std::vector<std::string>& before,
             const std::vector<std::string>& withdrawn,
-            store_revision revision) {
+            store_position position) {
     for (const std::string& domain : before) {
       if (!std::binary_search(withdrawn.begin(), withdrawn.end(), domain)) {
-        returned_at_[domain] = revision;
+        returned_at_[domain] = position;
       }
     }
   }
 
   /// The domains whose return is not known to the servers' collection, sorted;
   /// it is known as of `servers_known`.
-  std::vector<std::string> Unconfirmed(store_revision servers_known) {
+  std::vector<std::string> Unconfirmed(store_position servers_known) {
     std::erase_if(returned_at_, [servers_known](const auto& item) {
       return item.second <= servers_known;
     });
     std::vector<std::string> domains;
     domains.reserve(returned_at_.size());
-    for (const auto& [domain, revision] : returned_at_) {
+    for (const auto& [domain, position] : returned_at_) {
       domains.push_back(domain);
     }
     return domains;
   }
 
  private:
-  /// By which revision they were not withdrawn any more.
-  std::map<std::string, store_revision> returned_at_;
+  /// As of which position they were not withdrawn any more.
+  std::map<std::string, store_position> returned_at_;
 };
 
 }  // namespace poplarstair
--- a/poplarstair/catalog/store_call.h
+++ b/poplarstair/catalog/store_call.h
@@ -68,13 +68,17 @@
   kNoAnswer,
   /// An answer that can't be read.
   kMalformed,
+  /// An answer of before the store's return from a copy.
+  kEarlierEpoch,
+  /// An answer that does not tell its epoch, of a store that has told one.
+  kNoEpoch,
 };
 
 template <>
 struct enum_names<store_status> {
-  static constexpr std::string_view kNames[] = {"ok",        "history_gone",
-                                                "throttled", "unavailable",
-                                                "no_answer", "malformed"};
+  static constexpr std::string_view kNames[] = {
+      "ok",        "history_gone", "throttled",     "unavailable",
+      "no_answer", "malformed",    "earlier_epoch", "no_epoch"};
 };
 
 struct store_reply {
--- a/poplarstair/catalog/store_follower.cc
+++ b/poplarstair/catalog/store_follower.cc
@@ -31,10 +31,10 @@
     CallAgain(now);
   }
 
-  void Follow(time_point now, store_revision known) {
+  void Follow(time_point now, store_position known) {
     is_following_ = true;
     if (phase_ != follow_phase::kStopped) return;
-    revision_ = known;
+    position_ = known.epoch < epoch_ ? store_position{} : known;
     is_current_ = false;
     pause_ = settings_.first_pause;
     CallAgain(now);
@@ -46,23 +46,27 @@
     awaited_ = 0;
   }
 
-  void Rewatch(time_point now, store_revision known) {
+  void OnEpochHeard(time_point now, store_epoch epoch) {
+    if (epoch > KnownEpoch()) Restart(now);
+  }
+
+  void Rewatch(time_point now, store_position known) {
     if (phase_ != follow_phase::kWatching) return;
-    revision_ = std::max(revision_, known);
+    position_ = std::max(position_, known);
     is_current_ = false;
     Watch(now);
   }
 
   void Restart(time_point now) {
     if (!is_following_) return;
-    revision_ = 0;
+    position_ = {};
     confirmed_at_ = time_point{};
     CallAgain(now);
   }
 
   void Reload(time_point now) {
     if (phase_ == follow_phase::kListing) return;
-    revision_ = 0;
+    position_ = {};
     pause_ = settings_.first_pause;
     CallAgain(now);
   }
@@ -77,6 +81,14 @@
   void OnReply(time_point now, store_reply reply) {
     if (reply.id != awaited_ || awaited_ == 0) return;
     awaited_ = 0;
+    const bool is_first_page =
+        phase_ == follow_phase::kListing && listed_.empty();
+    const bool is_returned = reply.epoch > KnownEpoch();
+    if (is_returned) {
+      BeginEpoch(*reply.epoch);
+    } else if (reply.status == store_status::kOk) {
+      reply.status = StatusInEpoch(reply);
+    }
     if (reply.status == store_status::kOk &&
         (IsEarlierAnswer(reply) || IsEndlessPage(reply))) {
       reply.status = store_status::kMalformed;
@@ -85,10 +97,13 @@
     if (is_lost_) {
       actions_.log(log_record("store_regained")
                        .With("collection", NameOf(what_))
-                       .With("epoch", reply.epoch.value_or(0))
+                       .With("epoch", epoch_)
                        .With("revision", reply.revision));
       is_lost_ = false;
     }
+    // The call went on from what is of an earlier epoch.
+    if (is_returned && !is_first_page) return CallAgain(now);
+    epoch_ = KnownEpoch();
     is_current_ = true;
     for (const unreadable_object& object : reply.nameless) {
       actions_.log(log_record("store_object_unreadable", log_level::kWarning)
@@ -108,6 +123,7 @@
   }
 
   bool IsFollowing() const { return is_following_; }
+  store_epoch Epoch() const { return position_.epoch; }
   bool IsListing() const { return phase_ == follow_phase::kListing; }
   bool Awaits(uint64_t id) const { return awaited_ != 0 && id == awaited_; }
 
@@ -120,8 +136,26 @@
   }
 
  private:
+  /// The latest epoch that the store, or whoever handed over what is known, has
+  /// told of.
+  store_epoch KnownEpoch() const { return std::max(epoch_, position_.epoch); }
+
+  void BeginEpoch(store_epoch epoch) {
+    epoch_ = epoch;
+    position_ = {};
+    listed_.clear();
+    actions_.epoch_begun(epoch);
+  }
+
+  /// Whether an answer that begins no epoch can be put in order with what is
+  /// known: its revisions alone may be those of another epoch.
+  store_status StatusInEpoch(const store_reply& reply) const {
+    if (reply.epoch.value_or(0) == KnownEpoch()) return store_status::kOk;
+    return reply.epoch ? store_status::kEarlierEpoch : store_status::kNoEpoch;
+  }
+
   void CallAgain(time_point now) {
-    if (revision_ == 0) {
+    if (position_.revision == 0) {
       listed_.clear();
       List("");
     } else {
@@ -147,7 +181,7 @@
     phase_ = follow_phase::kWatching;
     store_request request;
     request.operation = store_operation::kWatch;
-    request.revision = revision_;
+    request.revision = position_.revision;
     request.wait = wait;
     request.timeout = request.wait + settings_.watch_answer_time;
     Send(std::move(request));
@@ -168,8 +202,8 @@
   /// a connection that was in use again.
   bool IsEarlierAnswer(const store_reply& reply) const {
     if (phase_ == follow_phase::kWatching) {
-      return reply.revision < revision_ ||
-             (reply.revision == revision_ && !reply.objects.empty());
+      return reply.revision < position_.revision ||
+             (reply.revision == position_.revision && !reply.objects.empty());
     }
     if (listed_.empty() || reply.objects.empty()) return false;
     const std::string& first = reply.objects.front().name;
@@ -192,19 +226,19 @@
     std::move(reply.objects.begin(), reply.objects.end(),
               std::back_inserter(listed_));
     if (reply.has_more) return List(listed_.back().name);
-    revision_ = first_page_revision_;
+    position_ = {epoch_, first_page_revision_};
     confirmed_at_ = now;
-    actions_.replaced(revision_, std::exchange(listed_, {}));
+    actions_.replaced(position_, std::exchange(listed_, {}));
     if (!is_following_) return Stop();
     Watch(now);
   }
 
   void OnEvents(time_point now, store_reply reply) {
     confirmed_at_ = now;
-    revision_ = std::max(revision_, reply.revision);
+    position_.revision = std::max(position_.revision, reply.revision);
     if (reply.objects.empty()) {
       Watch(now);
-      return actions_.confirmed(revision_);
+      return actions_.confirmed(position_);
     }
     const bool is_burst = now - news_at_ < settings_.gather_time;
     news_at_ = now;
@@ -214,22 +248,24 @@
     } else {
       Watch(now);
     }
-    actions_.changed(revision_, std::move(reply.objects));
+    actions_.changed(position_, std::move(reply.objects));
   }
 
   void OnFailure(time_point now, store_status status) {
     if (status == store_status::kHistoryGone) {
       actions_.log(log_record("store_history_gone")
                        .With("collection", NameOf(what_))
-                       .With("revision", revision_));
-      revision_ = 0;
+                       .With("epoch", position_.epoch)
+                       .With("revision", position_.revision));
+      position_ = {};
       return CallAgain(now);
     }
     if (!is_lost_) {
       actions_.log(log_record("store_lost", log_level::kWarning)
                        .With("collection", NameOf(what_))
                        .With("status", NameOf(status))
-                       .With("revision", revision_));
+                       .With("epoch", position_.epoch)
+                       .With("revision", position_.revision));
     }
     is_lost_ = true;
     phase_ = follow_phase::kPausing;
@@ -246,8 +282,10 @@
   follow_phase phase_ = follow_phase::kStopped;
   /// Watches once everything is listed.
   bool is_following_ = false;
-  /// What is known; 0 for nothing.
-  store_revision revision_ = 0;
+  /// What is known; revision 0 for nothing.
+  store_position position_;
+  /// The latest epoch in which the store has answered.
+  store_epoch epoch_ = 0;
   store_revision first_page_revision_ = 0;
   std::vector<store_object> listed_;
   uint64_t last_call_;
@@ -272,10 +310,10 @@
           std::make_unique<impl>(what, settings, random, std::move(actions))) {}
 store_follower::~store_follower() = default;
 void store_follower::Load(time_point now) { impl_->Load(now); }
-void store_follower::Rewatch(time_point now, store_revision known) {
+void store_follower::Rewatch(time_point now, store_position known) {
   impl_->Rewatch(now, known);
 }
-void store_follower::Follow(time_point now, store_revision known) {
+void store_follower::Follow(time_point now, store_position known) {
   impl_->Follow(now, known);
 }
 void store_follower::Stop() { impl_->Stop(); }
@@ -286,6 +324,10 @@
   impl_->OnReply(now, std::move(reply));
 }
 void store_follower::OnTick(time_point now) { impl_->OnTick(now); }
+void store_follower::OnEpochHeard(time_point now, store_epoch epoch) {
+  impl_->OnEpochHeard(now, epoch);
+}
+store_epoch store_follower::Epoch() const { return impl_->Epoch(); }
 bool store_follower::IsFollowing() const { return impl_->IsFollowing(); }
 bool store_follower::IsListing() const { return impl_->IsListing(); }
 bool store_follower::Awaits(uint64_t id) const { return impl_->Awaits(id); }
--- a/poplarstair/catalog/store_follower.h
+++ b/poplarstair/catalog/store_follower.h
@@ -50,12 +50,14 @@
  public:
   struct hooks {
     store_hook call;
-    /// The whole collection as of the revision.
-    std::function<void(store_revision, std::vector<store_object>)> replaced;
-    /// Single changes up to the revision.
-    std::function<void(store_revision, std::vector<store_object>)> changed;
-    /// Nothing has changed up to the revision.
-    std::function<void(store_revision)> confirmed;
+    /// The whole collection as of the position.
+    std::function<void(store_position, std::vector<store_object>)> replaced;
+    /// Single changes up to the position, since an earlier one of its epoch.
+    std::function<void(store_position, std::vector<store_object>)> changed;
+    /// Nothing has changed up to the position.
+    std::function<void(store_position)> confirmed;
+    /// The store answers in a later epoch than before.
+    std::function<void(store_epoch)> epoch_begun;
     log_hook log;
   };
 
@@ -65,9 +67,9 @@
 
   /// Lists the collection once, until the store has answered.
   void Load(time_point now);
-  /// Follows from now on. `known` is the revision of what a peer has handed
-  /// over, or 0 to list everything.
-  void Follow(time_point now, store_revision known);
+  /// Follows from now on. `known` is the position of what a peer has handed
+  /// over; revision 0 lists everything.
+  void Follow(time_point now, store_position known);
   /// Makes no more calls; an answer under way is ignored.
   void Stop();
   /// Drops the call under way and lists anew, e.g. after a pause.
@@ -77,7 +79,12 @@
   void Reload(time_point now);
   /// Drops the watch under way, which has missed what a peer knows, and goes on
   /// from `known`.
-  void Rewatch(time_point now, store_revision known);
+  void Rewatch(time_point now, store_position known);
+
+  /// Another follower or instance has heard of this epoch. If it is new here,
+  /// lists anew: the connection of a watch that waits may be of before the
+  /// store's return.
+  void OnEpochHeard(time_point now, store_epoch epoch);
 
   /// Asks the store at once whether anything has changed, if it is followed and
   /// was not lost: the answer to a watch that waits may be on its way.
@@ -89,6 +96,8 @@
   /// True while a list is under way that the store has not failed.
   bool IsListing() const;
   bool IsFollowing() const;
+  /// The epoch of what ConfirmedAt confirms.
+  store_epoch Epoch() const;
   /// True if `id` is the call under way.
   bool Awaits(uint64_t id) const;
   /// When the store last confirmed that nothing is missing: now while a watch
--- a/poplarstair/daemon/digest_task.cc
+++ b/poplarstair/daemon/digest_task.cc
@@ -57,7 +57,10 @@
   http_call call;
   call.url = "http://" + wanted.peer.ToString() + std::string(kCollectionPath) +
              std::string(NameOf(wanted.what)) + std::string(kSinceQuery) +
-             std::to_string(wanted.since);
+             std::to_string(wanted.since.revision);
+  if (wanted.since.epoch != 0) {
+    call.url += std::string(kEpochQuery) + std::to_string(wanted.since.epoch);
+  }
   call.timeout = kFetchTimeout;
   client_.Start(call, [this, wanted](const std::optional<http_reply>& reply) {
     collection_fetched fetched{wanted.peer, wanted.what, ""};
--- a/poplarstair/daemon/digest_task.h
+++ b/poplarstair/daemon/digest_task.h
@@ -13,6 +13,8 @@
 inline constexpr std::string_view kCollectionPath = "/catalog/";
 /// Followed by the revision that the asking instance holds.
 inline constexpr std::string_view kSinceQuery = "?since=";
+/// Followed by the epoch of that revision; left out if the store tells none.
+inline constexpr std::string_view kEpochQuery = "&epoch=";
 
 /// Digests travel as datagrams: losing one is harmless, as the next says all.
 /// Collections are fetched over HTTP from the control address.
--- a/poplarstair/daemon/entry_http_task.cc
+++ b/poplarstair/daemon/entry_http_task.cc
@@ -14,18 +14,28 @@
   entry_query::page page;
   collection what = collection::kRoutes;
   const char* type;
-  store_revision since = 0;
+  store_position since = {};
 };
 
-std::optional<store_revision> SinceOf(std::string_view query) {
-  if (query.empty()) return 0;
+std::optional<uint64_t> NumberOf(std::string_view text) {
+  uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return number;
+}
+
+std::optional<store_position> SinceOf(std::string_view query) {
+  if (query.empty()) return store_position{};
   if (!query.starts_with(kSinceQuery)) return std::nullopt;
   query.remove_prefix(kSinceQuery.size());
-  store_revision since = 0;
-  const char* const end = query.data() + query.size();
-  const auto parsed = std::from_chars(query.data(), end, since);
-  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
-  return since;
+  const size_t end = query.find(kEpochQuery);
+  const auto revision = NumberOf(query.substr(0, end));
+  const auto epoch = end == std::string_view::npos
+                         ? std::optional<uint64_t>(0)
+                         : NumberOf(query.substr(end + kEpochQuery.size()));
+  if (!revision || !epoch) return std::nullopt;
+  return store_position{*epoch, *revision};
 }
 
 std::optional<known_page> CollectionPageOf(std::string_view path) {
@@ -40,11 +50,10 @@
 
 std::optional<known_page> PageOf(const std::string& path) {
   using page = entry_query::page;
-  if (path == "/ready") return known_page{page::kReady, {}, "text/plain", 0};
-  if (path == "/state")
-    return known_page{page::kState, {}, "application/json", 0};
+  if (path == "/ready") return known_page{page::kReady, {}, "text/plain"};
+  if (path == "/state") return known_page{page::kState, {}, "application/json"};
   if (path == "/metrics") {
-    return known_page{page::kMetrics, {}, "text/plain; version=0.0.4", 0};
+    return known_page{page::kMetrics, {}, "text/plain; version=0.0.4"};
   }
   if (path.starts_with(kCollectionPath)) return CollectionPageOf(path);
   return std::nullopt;
--- a/poplarstair/daemon/entry_mailboxes.h
+++ b/poplarstair/daemon/entry_mailboxes.h
@@ -44,8 +44,8 @@
 
   page wanted = page::kReady;
   collection what = collection::kRoutes;
-  /// For a collection: the revision that the client holds; 0 for none.
-  store_revision since = 0;
+  /// For a collection: the position that the client holds; revision 0 for none.
+  store_position since;
   std::function<void(int status, std::string body)> answer;
 };
 
@@ -63,7 +63,7 @@
 struct collection_wanted {
   endpoint peer;
   collection what = collection::kRoutes;
-  store_revision since = 0;
+  store_position since;
 };
 
 struct server_to_check {
--- a/poplarstair/daemon/steering_task.cc
+++ b/poplarstair/daemon/steering_task.cc
@@ -42,6 +42,7 @@
   settings.peers.self = file.control;
   settings.peers.failure_domain = file.failure_domain;
   settings.peers.seeds = file.seeds;
+  settings.replica.silent_entry_time = file.silent_entry_time;
   settings.start.is_first_start = file.is_first_start;
   return settings;
 }
@@ -101,7 +102,7 @@
       board_.digests.Post({std::move(peers), std::move(bytes)});
     };
     hooks.fetch = [this](const endpoint& peer, collection what,
-                         store_revision since) {
+                         store_position since) {
       board_.fetches.Post({peer, what, since});
     };
     hooks.send_again = [this](std::span<const uint8_t> packet,
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "poplarstair/catalog/catalog_replica.h"
 #include "poplarstair/core/error.h"
 #include "poplarstair/steering/steering_log.h"
 
@@ -26,7 +25,7 @@
       : settings_(settings),
         life_(life),
         actions_(std::move(actions)),
-        replica_(actions_.log),
+        replica_(actions_.log, settings.replica),
         peers_(settings.peers, random_source(random()), actions_.log),
         start_(settings.start),
         steering_(settings.steering, random_source(random()), metrics,
@@ -94,7 +93,10 @@
     if (digest.wants_reply && !is_stopping_) {
       Send(now, {digest.sender}, digest.failure_domain);
     }
-    RaiseRevisions(now, digest);
+    RaisePositions(now, digest);
+    for (const store_position& position : digest.positions) {
+      NoteEpoch(now, position.epoch, "instance");
+    }
     if (start_.IsAwaiting()) OnStartAnswer(now, digest);
     FetchNewer(now);
     UpdateConfirmed(now);
@@ -139,6 +141,7 @@
     peers_.OnTick(now);
     steering_.SetHasNeighbours(peers_.HasNeighbours());
     for (const auto& follower : followers_) follower->OnTick(now);
+    if (replica_.OnTick(now)) OnCatalogChange(now, false);
     UpdateConfirmed(now);
     ContinueStart(now);
     UpdateFollowing(now);
@@ -169,7 +172,7 @@
   }
 
   std::string ExportCollection(time_point now, collection what,
-                               store_revision since) const {
+                               store_position since) const {
     return replica_.Export(now, what, since);
   }
 
@@ -184,6 +187,7 @@
     state["backend_servers"] = replica_.Current().servers.size();
     state["withdrawn_domains"] = replica_.Current().withdrawn_domains;
     state["catalog_age_ms"] = (now - confirmed_at_).count() / 1000;
+    state["store_epoch"] = replica_.Position(collection::kRoutes).epoch;
     state["follows_store"] = followers_[0]->IsFollowing();
     state["flows"] = steering_.OpenFlows();
     state["slowest_servers"] = SlowestServers(now);
@@ -205,7 +209,7 @@
 
   /// A state that a peer holds and this instance does not.
   struct gap {
-    store_revision wanted = 0;
+    store_position wanted;
     time_point since{};
   };
 
@@ -277,9 +281,10 @@
 
   /// The answer of another instance to the first digest of this one.
   void OnStartAnswer(time_point now, const peer_digest& digest) {
-    const auto& theirs = digest.revisions;
+    const auto& theirs = digest.positions;
     const bool is_complete =
-        std::find(theirs.begin(), theirs.end(), 0U) == theirs.end();
+        std::all_of(theirs.begin(), theirs.end(),
+                    [](store_position p) { return p.revision != 0; });
     start_.OnAnswer(now, is_complete && digest.age <= FreshToHandOver());
     // The seeds name instances of the own domain: those hand the catalog over.
     if (digest.failure_domain == settings_.peers.failure_domain) return;
@@ -293,7 +298,8 @@
     if (!replica_.NeedsOwnReading(what)) return;
     actions_.log(log_record("catalog_read_anew")
                      .With("collection", NameOf(what))
-                     .With("revision", replica_.Revision(what)));
+                     .With("epoch", replica_.Position(what).epoch)
+                     .With("revision", replica_.Position(what).revision));
     followers_[Index(what)]->Reload(now_);
   }
 
@@ -346,51 +352,72 @@
       store_calls_.Add();
       actions_.call_store(std::move(request));
     };
-    result.replaced = [this, what](store_revision revision,
+    result.replaced = [this, what](store_position position,
                                    const std::vector<store_object>& objects) {
-      NoteEarlier(what, revision);
-      if (replica_.Replace(now_, what, revision, objects)) {
+      NoteEarlier(what, position);
+      if (replica_.Replace(now_, what, position, objects)) {
         OnCatalogChange(now_, true);
       }
     };
-    result.changed = [this, what](store_revision revision,
+    result.changed = [this, what](store_position position,
                                   const std::vector<store_object>& objects) {
-      NoteEarlier(what, revision);
-      if (replica_.Change(now_, what, revision, objects)) {
+      NoteEarlier(what, position);
+      if (replica_.Change(now_, what, position, objects)) {
         OnCatalogChange(now_, true);
       }
     };
-    result.confirmed = [this, what](store_revision revision) {
-      if (replica_.Raise(what, revision)) OnCatalogChange(now_, true);
+    result.confirmed = [this, what](store_position position) {
+      if (replica_.Raise(now_, what, position)) OnCatalogChange(now_, true);
+    };
+    result.epoch_begun = [this](store_epoch epoch) {
+      NoteEpoch(now_, epoch, "store");
     };
     return result;
   }
 
   /// Logs an answer of the store that is not taken.
-  void NoteEarlier(collection what, store_revision revision) {
-    if (revision >= replica_.Revision(what)) return;
+  void NoteEarlier(collection what, store_position position) {
+    const store_position held = replica_.Position(what);
+    if (position >= held) return;
     actions_.log(log_record("store_answer_earlier")
                      .With("collection", NameOf(what))
-                     .With("revision", revision)
-                     .With("held", replica_.Revision(what)));
+                     .With("epoch", position.epoch)
+                     .With("revision", position.revision)
+                     .With("held_epoch", held.epoch)
+                     .With("held", held.revision));
+  }
+
+  /// The store has come back from a copy: what is known of it is of an earlier
+  /// epoch, until it is listed anew. Its connections may not tell.
+  void NoteEpoch(time_point now, store_epoch epoch, std::string_view source) {
+    if (epoch <= epoch_) return;
+    const store_epoch before = std::exchange(epoch_, epoch);
+    if (before == 0) return;
+    actions_.log(log_record("store_restored", log_level::kWarning)
+                     .With("epoch", epoch)
+                     .With("before", before)
+                     .With("source", source)
+                     .With("age_ms", AgeMs(now)));
+    for (const auto& follower : followers_) follower->OnEpochHeard(now, epoch);
   }
 
   peer_view::held_state State() const {
     peer_view::held_state state;
     for (const collection what : kAllCollections) {
-      state.revisions[Index(what)] = replica_.Revision(what);
+      state.positions[Index(what)] = replica_.Position(what);
       state.contents[Index(what)] = replica_.Digest(what);
     }
+    state.routes_version = replica_.Current().routes.version;
     return state;
   }
 
-  /// Equal content is also the state of the later of two revisions.
-  void RaiseRevisions(time_point now, const peer_digest& digest) {
+  /// Equal content is also the state of the later of two positions.
+  void RaisePositions(time_point now, const peer_digest& digest) {
     bool is_confirmed = false;
     for (const collection what : kAllCollections) {
       if (digest.contents[Index(what)] != replica_.Digest(what)) continue;
-      const store_revision revision = digest.revisions[Index(what)];
-      if (replica_.Raise(what, revision)) is_confirmed = true;
+      const store_position position = digest.positions[Index(what)];
+      if (replica_.Raise(now, what, position)) is_confirmed = true;
     }
     if (is_confirmed) OnCatalogChange(now, false);
   }
@@ -398,8 +425,11 @@
   /// Oldest confirmation over the collections, by the own calls alone.
   time_point OwnConfirmedAt(time_point now) const {
     time_point oldest = now;
-    for (const auto& follower : followers_) {
-      oldest = std::min(oldest, follower->ConfirmedAt(now));
+    for (const collection what : kAllCollections) {
+      const store_follower& follower = *followers_[Index(what)];
+      // A watch of before the store's return confirms nothing of after it.
+      if (follower.Epoch() != replica_.Position(what).epoch) return {};
+      oldest = std::min(oldest, follower.ConfirmedAt(now));
     }
     return oldest;
   }
@@ -475,7 +505,7 @@
     for (const collection what : kAllCollections) {
       store_follower& follower = *followers_[Index(what)];
       if (should) {
-        follower.Follow(now, replica_.Revision(what));
+        follower.Follow(now, replica_.Position(what));
       } else {
         follower.Stop();
       }
@@ -498,10 +528,11 @@
       // In a stream of changes somebody is always a step ahead: only a state
       // that stays unknown here counts.
       gap& behind = behind_[Index(what)];
-      if (replica_.Revision(what) >= behind.wanted) {
-        behind = {peer->revision, now};
+      if (replica_.Position(what) >= behind.wanted) {
+        behind = {peer->position, now};
       }
-      if (IsHeardSoon(now, what)) continue;
+      // The store can't tell what it has lost.
+      if (!peer->has_later_routes && IsHeardSoon(now, what)) continue;
       behind = {};
       fetching_[Index(what)] = true;
       fetches_.Add();
@@ -511,7 +542,7 @@
 
   /// True if nothing is known yet, and the store is about to tell.
   bool IsListedSoon(time_point now, collection what) const {
-    return replica_.Revision(what) == 0 &&
+    return replica_.Position(what).revision == 0 &&
            followers_[Index(what)]->IsListing() &&
            now - listing_since_ < settings_.first_list_time;
   }
@@ -528,8 +559,9 @@
     // The connection of a watch that lacks it has gone silent.
     actions_.log(log_record("watch_overtaken", log_level::kWarning)
                      .With("collection", NameOf(what))
-                     .With("revision", replica_.Revision(what)));
-    follower.Rewatch(now, replica_.Revision(what));
+                     .With("epoch", replica_.Position(what).epoch)
+                     .With("revision", replica_.Position(what).revision));
+    follower.Rewatch(now, replica_.Position(what));
     return false;
   }
 
@@ -545,8 +577,9 @@
     digest.is_following = followers_[0]->IsFollowing() &&
                           now - OwnConfirmedAt(now) < kOwnAnswerTime;
     const peer_view::held_state state = State();
-    digest.revisions = state.revisions;
+    digest.positions = state.positions;
     digest.contents = state.contents;
+    digest.routes_version = state.routes_version;
     digest.age = now - confirmed_at_;
     digest.reports = steering_.Reports(now);
     digest.services = steering_.ServiceLoads();
@@ -614,6 +647,8 @@
   metric& unread_parts_;
   std::array<bool, kCollections> fetching_{};
   std::array<gap, kCollections> behind_{};
+  /// The store's latest epoch that this instance has heard of.
+  store_epoch epoch_ = 0;
   bool is_stopping_ = false;
   bool is_cut_ = false;
   /// Time of the event under way, for hooks that are called within it.
@@ -664,7 +699,7 @@
   return impl_->IsReady(now);
 }
 std::string entry_instance::ExportCollection(time_point now, collection what,
-                                             store_revision since) const {
+                                             store_position since) const {
   return impl_->ExportCollection(now, what, since);
 }
 std::string entry_instance::StateJson(time_point now) {
--- a/poplarstair/steering/entry_instance.h
+++ b/poplarstair/steering/entry_instance.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "poplarstair/catalog/catalog_replica.h"
 #include "poplarstair/catalog/store_follower.h"
 #include "poplarstair/core/counters.h"
 #include "poplarstair/steering/catalog_start.h"
@@ -20,6 +21,7 @@
   follower_settings follower;
   peer_view_settings peers;
   catalog_start_settings start;
+  replica_settings replica;
   /// How long a watch may lack what another instance knows already: changes are
   /// gathered before each call, and its answer may be slow.
   duration watch_lag = std::chrono::milliseconds(600);
@@ -43,10 +45,10 @@
     store_hook call_store;
     std::function<void(std::vector<endpoint> peers, std::string digest)>
         send_digest;
-    /// Fetch a collection from another instance, or its changes after revision
-    /// `since`; answered by OnFetched.
+    /// Fetch a collection from another instance, or its changes after `since`;
+    /// answered by OnFetched.
     std::function<void(const endpoint& peer, collection what,
-                       store_revision since)>
+                       store_position since)>
         fetch;
     /// As flow_steering::hooks.
     std::function<void(std::span<const uint8_t> packet, const steer_decision&)>
@@ -92,7 +94,7 @@
   bool IsReady(time_point now) const;
   /// `since` as for catalog_replica::Export.
   std::string ExportCollection(time_point now, collection what,
-                               store_revision since) const;
+                               store_position since) const;
   /// State as a JSON object, for operators.
   std::string StateJson(time_point now);
 
--- a/poplarstair/steering/peer_digest.cc
+++ b/poplarstair/steering/peer_digest.cc
@@ -55,9 +55,12 @@
   std::vector<named_fields> peers;
   /// Empty from instances that do not send it.
   std::vector<service_fields> services;
+  /// 0 from instances that do not send them.
+  std::array<uint64_t, kCollections> epochs{};
+  uint64_t routes_version = 0;
   MSGPACK_DEFINE(version, sender, life, failure_domain, is_stopping,
                  wants_reply, is_following, revisions, contents, age_ms,
-                 reports, peers, services)
+                 reports, peers, services, epochs, routes_version)
 };
 
 int64_t AgeMs(duration age) {
@@ -74,8 +77,12 @@
   fields.is_stopping = digest.is_stopping;
   fields.wants_reply = digest.wants_reply;
   fields.is_following = digest.is_following;
-  fields.revisions = digest.revisions;
+  for (size_t i = 0; i < kCollections; ++i) {
+    fields.epochs[i] = digest.positions[i].epoch;
+    fields.revisions[i] = digest.positions[i].revision;
+  }
   fields.contents = digest.contents;
+  fields.routes_version = digest.routes_version;
   fields.age_ms = AgeMs(digest.age);
   for (const server_report& r : digest.reports) {
     const double scaled = std::clamp(r.load * kLoadScale, 0.0, 1e9);
@@ -114,8 +121,11 @@
   digest.is_stopping = fields.is_stopping;
   digest.wants_reply = fields.wants_reply;
   digest.is_following = fields.is_following;
-  digest.revisions = fields.revisions;
+  for (size_t i = 0; i < kCollections; ++i) {
+    digest.positions[i] = {fields.epochs[i], fields.revisions[i]};
+  }
   digest.contents = fields.contents;
+  digest.routes_version = fields.routes_version;
   digest.age = std::chrono::milliseconds(fields.age_ms);
   for (const report_fields& r : fields.reports) {
     const work_time_samples work{static_cast<double>(r.work_us),
--- a/poplarstair/steering/peer_digest.h
+++ b/poplarstair/steering/peer_digest.h
@@ -38,8 +38,10 @@
   bool wants_reply = false;
   /// The sender follows the store itself, and the store answers it.
   bool is_following = false;
-  std::array<store_revision, kCollections> revisions{};
+  std::array<store_position, kCollections> positions{};
   std::array<content_digest, kCollections> contents{};
+  /// Version of the routes in force.
+  uint64_t routes_version = 0;
   /// How long ago the store confirmed the sender's catalog.
   duration age = std::chrono::hours(1);
   std::vector<server_report> reports;
--- a/poplarstair/steering/peer_view.cc
+++ b/poplarstair/steering/peer_view.cc
@@ -69,7 +69,7 @@
   }
   known.life = digest.life;
   known.failure_domain = digest.failure_domain;
-  known.state = {digest.revisions, digest.contents};
+  known.state = {digest.positions, digest.contents, digest.routes_version};
   known.is_following = digest.is_following;
   known.last_heard = now;
   if (known.failure_domain != settings_.failure_domain) {
@@ -254,16 +254,27 @@
 
 bool peer_view::IsNewer(const held_state& theirs, const held_state& own,
                         size_t i) {
-  return theirs.revisions[i] > own.revisions[i] &&
-         (theirs.contents[i] != own.contents[i] || own.revisions[i] == 0);
+  const bool is_known = own.positions[i].revision != 0;
+  return theirs.positions[i] > own.positions[i] &&
+         (theirs.contents[i] != own.contents[i] || !is_known);
+}
+
+bool peer_view::HasLaterRoutes(const held_state& theirs,
+                               const held_state& own) {
+  constexpr auto kRoutes = static_cast<size_t>(collection::kRoutes);
+  return theirs.routes_version > own.routes_version &&
+         theirs.positions[kRoutes] <= own.positions[kRoutes];
 }
 
 time_point peer_view::ConfirmedAt(const held_state& own) const {
   time_point latest{};
   for (const auto& [address, known] : members_) {
-    bool is_covered = true;
+    bool is_covered = !HasLaterRoutes(known.state, own);
     for (size_t i = 0; i < kCollections; ++i) {
-      is_covered = is_covered && !IsNewer(known.state, own, i);
+      // What an earlier epoch confirmed says nothing of this one.
+      const bool is_same_epoch =
+          known.state.positions[i].epoch == own.positions[i].epoch;
+      is_covered = is_covered && is_same_epoch && !IsNewer(known.state, own, i);
     }
     if (is_covered) latest = std::max(latest, known.confirmed_at);
   }
@@ -276,13 +287,16 @@
   std::optional<newer_peer> best;
   std::pair<bool, time_point> best_merit{};
   for (const auto& [address, known] : members_) {
-    if (!IsNewer(known.state, own, index)) continue;
+    const bool has_later_routes =
+        what == collection::kRoutes && HasLaterRoutes(known.state, own);
+    if (!has_later_routes && !IsNewer(known.state, own, index)) continue;
     if (known.confirmed_at < confirmed_since) continue;
     if (known.avoid_until > known.last_heard) continue;
     const std::pair merit(known.failure_domain == settings_.failure_domain,
                           known.last_heard);
     if (best && merit <= best_merit) continue;
-    best = newer_peer{address, merit.first, known.state.revisions[index]};
+    best = newer_peer{address, merit.first, known.state.positions[index],
+                      has_later_routes};
     best_merit = merit;
   }
   return best;
--- a/poplarstair/steering/peer_view.h
+++ b/poplarstair/steering/peer_view.h
@@ -120,17 +120,22 @@
 
   /// The state of the collections that an instance holds.
   struct held_state {
-    std::array<store_revision, kCollections> revisions{};
+    std::array<store_position, kCollections> positions{};
     std::array<content_digest, kCollections> contents{};
+    /// Version of the routes in force: in the store's order within an epoch,
+    /// and the operator's word where the store lacks it after a return.
+    uint64_t routes_version = 0;
   };
 
-  /// When the store last confirmed a catalog that is not newer than `own`, as
-  /// far as peers have told.
+  /// When the store last confirmed a catalog of the same epoch that is not
+  /// newer than `own`, as far as peers have told.
   time_point ConfirmedAt(const held_state& own) const;
   struct newer_peer {
     endpoint address;
     bool is_own_domain = false;
-    store_revision revision = 0;
+    store_position position;
+    /// It holds later routes than the store has.
+    bool has_later_routes = false;
   };
   /// An instance that holds another, newer state of the collection, of the own
   /// domain if there is one. The store has confirmed that instance's catalog
@@ -193,6 +198,8 @@
   size_t FarMembers() const;
   /// How long news needs to reach every instance of the own domain.
   duration SpreadTime() const;
+  /// True if `theirs` has later routes, but no later position of them.
+  static bool HasLaterRoutes(const held_state& theirs, const held_state& own);
   /// True if collection `i` of `theirs` is another, newer state than `own`.
   static bool IsNewer(const held_state& theirs, const held_state& own,
                       size_t i);
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -258,7 +258,7 @@
       for (const endpoint& peer : peers) SendDigest(i, IndexOf(peer), bytes);
     };
     hooks.fetch = [this, i](const endpoint& peer, collection what,
-                            store_revision since) {
+                            store_position since) {
       ++fetches;
       const size_t from = IndexOf(peer);
       std::string exported;
--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -74,9 +74,9 @@
 
 Test(catalog_replica, another_instance_takes_over_all_that_one_knows) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
-  first.Replace(kNow, collection::kServers, 6, {Server("i-1", 1)});
-  first.Replace(kNow, collection::kWithdrawals, 7, {{"z2", false, {}, 4}});
+  first.Replace(kNow, collection::kRoutes, {0, 5}, {Routes(3)});
+  first.Replace(kNow, collection::kServers, {0, 6}, {Server("i-1", 1)});
+  first.Replace(kNow, collection::kWithdrawals, {0, 7}, {{"z2", false, {}, 4}});
   catalog_replica second = MakeReplica();
   // The other instance's clock shows another time.
   const time_point there{std::chrono::seconds(9000)};
@@ -98,12 +98,13 @@
 
 Test(catalog_replica, never_goes_back) {
   catalog_replica replica = MakeReplica();
-  replica.Replace(kNow, collection::kRoutes, 20, {Routes(8)});
-  cr_assert_not(replica.Replace(kNow, collection::kRoutes, 19, {Routes(7)}));
-  replica.Change(kNow, collection::kRoutes, 21, {Routes(7)});
+  replica.Replace(kNow, collection::kRoutes, {0, 20}, {Routes(8)});
+  cr_assert_not(
+      replica.Replace(kNow, collection::kRoutes, {0, 19}, {Routes(7)}));
+  replica.Change(kNow, collection::kRoutes, {0, 21}, {Routes(7)});
   cr_assert_eq(replica.Current().routes.version, 8u);
   catalog_replica old = MakeReplica();
-  old.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  old.Replace(kNow, collection::kRoutes, {0, 5}, {Routes(3)});
   const std::string exported = old.Export(kNow, collection::kRoutes);
   cr_assert_not(replica.Import(kNow, collection::kRoutes, exported));
   cr_assert_eq(replica.Current().routes.version, 8u);
@@ -111,9 +112,9 @@
 
 Test(catalog_replica, an_entry_that_turns_unreadable_is_the_only_one_lost) {
   catalog_replica replica = MakeReplica();
-  replica.Replace(kNow, collection::kServers, 5,
+  replica.Replace(kNow, collection::kServers, {0, 5},
                   {Server("i-1", 1), Server("i-2", 2)});
-  replica.Change(kNow, collection::kServers, 6,
+  replica.Change(kNow, collection::kServers, {0, 6},
                  {{"i-1", false, unreadable_object{"no state"}, 6}});
   cr_assert_not(replica.Current().servers.contains("i-1"));
   cr_assert(replica.Current().servers.contains("i-2"));
@@ -121,10 +122,10 @@
 
 Test(catalog_replica, follows_withdrawal_and_return) {
   catalog_replica replica = MakeReplica();
-  replica.Replace(kNow, collection::kWithdrawals, 5, {});
-  replica.Change(kNow, collection::kWithdrawals, 6, {{"z", false, {}, 6}});
+  replica.Replace(kNow, collection::kWithdrawals, {0, 5}, {});
+  replica.Change(kNow, collection::kWithdrawals, {0, 6}, {{"z", false, {}, 6}});
   cr_assert_eq(replica.Current().withdrawn_domains.size(), 1u);
-  replica.Change(kNow, collection::kWithdrawals, 7, {{"z", true, {}, 6}});
+  replica.Change(kNow, collection::kWithdrawals, {0, 7}, {{"z", true, {}, 6}});
   cr_assert(replica.Current().withdrawn_domains.empty());
 }
 
@@ -132,18 +133,18 @@
   catalog_replica replica = MakeReplica();
   cr_assert_throw(replica.Import(kNow, collection::kServers, "rubbish"),
                   malformed_message);
-  cr_assert_eq(replica.Revision(collection::kServers), 0u);
+  cr_assert_eq(replica.Position(collection::kServers).revision, 0u);
 }
 
 Test(catalog_replica, the_digest_tells_content_from_revision) {
   catalog_replica listed = MakeReplica();
-  listed.Replace(kNow, collection::kServers, 50,
+  listed.Replace(kNow, collection::kServers, {0, 50},
                  {Server("i-1", 1), Server("i-2", 2)});
   catalog_replica watched = MakeReplica();
-  watched.Replace(kNow, collection::kServers, 5, {Server("i-1", 1)});
+  watched.Replace(kNow, collection::kServers, {0, 5}, {Server("i-1", 1)});
   cr_assert_neq(watched.Digest(collection::kServers),
                 listed.Digest(collection::kServers));
-  watched.Change(kNow, collection::kServers, 6, {Server("i-2", 2)});
+  watched.Change(kNow, collection::kServers, {0, 6}, {Server("i-2", 2)});
   cr_assert_eq(watched.Digest(collection::kServers),
                listed.Digest(collection::kServers));
   catalog_replica fetched = MakeReplica();
@@ -151,7 +152,7 @@
                  listed.Export(kNow, collection::kServers));
   cr_assert_eq(fetched.Digest(collection::kServers),
                listed.Digest(collection::kServers));
-  watched.Change(kNow, collection::kServers, 7, {{"i-2", true, {}, 2}});
+  watched.Change(kNow, collection::kServers, {0, 7}, {{"i-2", true, {}, 2}});
   cr_assert_neq(watched.Digest(collection::kServers),
                 listed.Digest(collection::kServers));
 }
@@ -162,7 +163,7 @@
   for (uint64_t i = 1; i <= 500; ++i) {
     many.push_back(Server("i-" + std::to_string(i), i));
   }
-  first.Replace(kNow, collection::kServers, 600, many);
+  first.Replace(kNow, collection::kServers, {0, 600}, many);
   catalog_replica second = MakeReplica();
   const std::string whole = first.Export(kNow, collection::kServers);
   second.Import(kNow, collection::kServers, whole);
@@ -171,9 +172,9 @@
   fresh.revision = 601;
   store_object changed = Server("i-7", 7);
   changed.revision = 602;
-  first.Change(kNow, collection::kServers, 603,
+  first.Change(kNow, collection::kServers, {0, 603},
                {fresh, changed, {"i-9", true, {}, 9}});
-  first.Change(kNow, collection::kServers, 604,
+  first.Change(kNow, collection::kServers, {0, 604},
                {{"i-8", false, unreadable_object{"no state"}, 604}});
   const std::string changes = first.Export(
       kNow, collection::kServers, second.FetchSince(collection::kServers));
@@ -181,7 +182,7 @@
   cr_assert(second.Import(kNow, collection::kServers, changes));
   cr_assert_eq(second.Digest(collection::kServers),
                first.Digest(collection::kServers));
-  cr_assert_eq(second.Revision(collection::kServers), 604u);
+  cr_assert_eq(second.Position(collection::kServers).revision, 604u);
   cr_assert(second.Current().servers.contains("i-501"));
   cr_assert_not(second.Current().servers.contains("i-8"));
   cr_assert_not(second.Current().servers.contains("i-9"));
@@ -189,52 +190,53 @@
   catalog_replica third = MakeReplica();
   third.Import(kNow, collection::kServers, whole);
   third.Import(kNow, collection::kServers,
-               second.Export(kNow, collection::kServers, 600));
+               second.Export(kNow, collection::kServers, {0, 600}));
   cr_assert_eq(third.Digest(collection::kServers),
                first.Digest(collection::kServers));
 }
 
 Test(catalog_replica, a_list_tells_others_what_is_gone) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kServers, 10,
+  first.Replace(kNow, collection::kServers, {0, 10},
                 {Server("i-1", 1), Server("i-2", 2)});
   catalog_replica second = MakeReplica();
   second.Import(kNow, collection::kServers,
                 first.Export(kNow, collection::kServers));
-  first.Replace(kNow, collection::kServers, 20, {Server("i-2", 2)});
+  first.Replace(kNow, collection::kServers, {0, 20}, {Server("i-2", 2)});
   second.Import(kNow, collection::kServers,
-                first.Export(kNow, collection::kServers, 10));
+                first.Export(kNow, collection::kServers, {0, 10}));
   cr_assert_not(second.Current().servers.contains("i-1"));
-  cr_assert_eq(second.Revision(collection::kServers), 20u);
+  cr_assert_eq(second.Position(collection::kServers).revision, 20u);
 }
 
 Test(catalog_replica, fetches_the_whole_after_changes_that_do_not_fit) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kServers, 10, {Server("i-1", 1)});
+  first.Replace(kNow, collection::kServers, {0, 10}, {Server("i-1", 1)});
   // The same revision with other content: a server that only this one holds.
   catalog_replica second = MakeReplica();
-  second.Replace(kNow, collection::kServers, 10, {Server("i-5", 5)});
+  second.Replace(kNow, collection::kServers, {0, 10}, {Server("i-5", 5)});
   store_object fresh = Server("i-2", 2);
   fresh.revision = 11;
-  first.Change(kNow, collection::kServers, 11, {fresh});
+  first.Change(kNow, collection::kServers, {0, 11}, {fresh});
   second.Import(kNow, collection::kServers,
-                first.Export(kNow, collection::kServers, 10));
-  cr_assert_eq(second.FetchSince(collection::kServers), 0u);
+                first.Export(kNow, collection::kServers, {0, 10}));
+  cr_assert_eq(second.FetchSince(collection::kServers).revision, 0u);
   second.Import(kNow, collection::kServers,
-                first.Export(kNow, collection::kServers, 0));
+                first.Export(kNow, collection::kServers, {0, 0}));
   cr_assert_eq(second.Digest(collection::kServers),
                first.Digest(collection::kServers));
-  cr_assert_eq(second.FetchSince(collection::kServers), 11u);
+  cr_assert_eq(second.FetchSince(collection::kServers).revision, 11u);
 }
 
 // An HTTP answer does not tell what it answers: one that came late, on a
 // connection in use again, took all withdrawals back.
 Test(catalog_replica, another_collections_answer_changes_nothing) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kServers, 6, {Server("i-1", 1)});
+  first.Replace(kNow, collection::kServers, {0, 6}, {Server("i-1", 1)});
   catalog_replica second = MakeReplica();
-  second.Replace(kNow, collection::kWithdrawals, 5, {{"z2", false, {}, 4}});
-  const std::string servers = first.Export(kNow, collection::kServers, 0);
+  second.Replace(kNow, collection::kWithdrawals, {0, 5},
+                 {{"z2", false, {}, 4}});
+  const std::string servers = first.Export(kNow, collection::kServers, {0, 0});
   cr_assert_throw(second.Import(kNow, collection::kWithdrawals, servers),
                   malformed_message);
   cr_assert_eq(second.Current().withdrawn_domains.size(), 1u);
@@ -245,7 +247,7 @@
   std::get<route_table>(read.content).AddUnread({"route r1", "unknown kind"});
   std::vector<std::string> events;
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kRoutes, 5, {read});
+  first.Replace(kNow, collection::kRoutes, {0, 5}, {read});
   catalog_replica second(
       [&events](const log_record& line) { events.push_back(line.ToLine()); });
   cr_assert(second.Import(kNow, collection::kRoutes,
@@ -258,7 +260,7 @@
   };
   cr_assert_eq(std::count_if(events.begin(), events.end(), is_unread_line), 1);
   // The same version, read again, is not logged again.
-  second.Replace(kNow, collection::kRoutes, 6, {read});
+  second.Replace(kNow, collection::kRoutes, {0, 6}, {read});
   cr_assert_eq(std::count_if(events.begin(), events.end(), is_unread_line), 1);
   // Equal versions of the program read the same.
   cr_assert_not(second.NeedsOwnReading(collection::kRoutes));
@@ -268,7 +270,7 @@
 // started beside it had no routes.
 Test(catalog_replica, an_unknown_kind_from_a_later_version_is_never_repeated) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  first.Replace(kNow, collection::kRoutes, {0, 5}, {Routes(3)});
   const std::string later = Edited(
       first.Export(kNow, collection::kRoutes),
       [](auto& fields) { SetInFirst(fields, kProfiles, kKindInProfile, 9); });
@@ -281,7 +283,7 @@
 
 Test(catalog_replica, a_server_in_an_unknown_state_is_the_only_one_lost) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kServers, 5,
+  first.Replace(kNow, collection::kServers, {0, 5},
                 {Server("i-1", 1), Server("i-2", 2)});
   const std::string later =
       Edited(first.Export(kNow, collection::kServers), [](auto& fields) {
@@ -297,13 +299,13 @@
 // from one that did not, and kept it.
 Test(catalog_replica, what_an_earlier_version_hands_over_is_to_be_read_anew) {
   catalog_replica first = MakeReplica();
-  first.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  first.Replace(kNow, collection::kRoutes, {0, 5}, {Routes(3)});
   const std::string earlier =
       Edited(first.Export(kNow, collection::kRoutes),
              [](auto& fields) { fields.size = kFieldsBeforeVocabulary; });
   catalog_replica second = MakeReplica();
   cr_assert(second.Import(kNow, collection::kRoutes, earlier));
   cr_assert(second.NeedsOwnReading(collection::kRoutes));
-  second.Replace(kNow, collection::kRoutes, 5, {Routes(3)});
+  second.Replace(kNow, collection::kRoutes, {0, 5}, {Routes(3)});
   cr_assert_not(second.NeedsOwnReading(collection::kRoutes));
 }
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -22,17 +22,19 @@
   std::vector<size_t> replaced_objects;
   std::vector<store_revision> changed;
   std::vector<store_revision> confirmed;
+  std::vector<store_epoch> epochs;
   store_follower follower{
       collection::kServers,
       settings,
       random_source(1),
       {[this](const store_request& r) { calls.push_back(r); },
-       [this](store_revision revision, auto objects) {
-         replaced.push_back(revision);
+       [this](store_position position, auto objects) {
+         replaced.push_back(position.revision);
          replaced_objects.push_back(objects.size());
        },
-       [this](store_revision revision, auto) { changed.push_back(revision); },
-       [this](store_revision revision) { confirmed.push_back(revision); },
+       [this](store_position p, auto) { changed.push_back(p.revision); },
+       [this](store_position p) { confirmed.push_back(p.revision); },
+       [this](store_epoch epoch) { epochs.push_back(epoch); },
        [](const log_record&) {}}};
 
   void Answer(time_point now, store_status status, store_revision revision,
@@ -46,7 +48,7 @@
 
 Test(store_follower, lists_every_page_then_watches_from_the_first_ones_state) {
   followed_store store;
-  store.follower.Follow(kStart, 0);
+  store.follower.Follow(kStart, {0, 0});
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   cr_assert_eq(store.calls.back().after, "a");
   store.Answer(kStart, store_status::kOk, 14, {{"b", false, {}}});
@@ -58,7 +60,7 @@
 
 Test(store_follower, goes_on_from_a_state_that_a_peer_handed_over) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
   store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
   cr_assert_eq(store.changed.at(0), 44u);
@@ -77,7 +79,7 @@
 
 Test(store_follower, lists_anew_when_the_history_is_gone) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   store.Answer(kStart, store_status::kHistoryGone, 0);
   cr_assert_eq(store.calls.back().operation, store_operation::kList);
 }
@@ -86,7 +88,7 @@
 // return seconds late.
 Test(store_follower, waits_only_briefly_while_the_store_is_lost) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   store.Answer(kStart, store_status::kOk, 40);
   const duration usual = store.calls.back().timeout;
   store.Answer(kStart, store_status::kNoAnswer, 0);
@@ -104,7 +106,7 @@
     follower_settings settings;
     settings.in_force = in_force;
     followed_store store(settings);
-    store.follower.Follow(kStart, 40);
+    store.follower.Follow(kStart, {0, 40});
     store.Answer(kStart, store_status::kOk, 40);
     // The connection is silent from now on.
     const duration noticed = store.calls.back().timeout;
@@ -126,7 +128,7 @@
 
 Test(store_follower, pauses_longer_after_each_failure_and_never_too_long) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   time_point now = kStart;
   std::vector<duration> pauses;
   for (int i = 0; i < 8; ++i) {
@@ -146,7 +148,7 @@
 
 Test(store_follower, ignores_answers_to_calls_that_it_has_given_up) {
   followed_store store;
-  store.follower.Follow(kStart, 0);
+  store.follower.Follow(kStart, {0, 0});
   const uint64_t old_call = store.calls.back().id;
   store.follower.Restart(kStart);
   store.follower.OnReply(kStart, {old_call, store_status::kOk, 9, {}, false});
@@ -158,7 +160,7 @@
 
 Test(store_follower, is_current_only_while_the_store_answers) {
   followed_store store;
-  store.follower.Follow(kStart, 0);
+  store.follower.Follow(kStart, {0, 0});
   cr_assert_eq(store.follower.ConfirmedAt(kStart), time_point{});
   store.Answer(kStart, store_status::kOk, 9);
   const time_point later = kStart + std::chrono::seconds(2);
@@ -175,14 +177,14 @@
 Test(store_follower,
      a_watch_from_an_old_state_confirms_nothing_until_answered) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   cr_assert_eq(store.follower.ConfirmedAt(kStart), time_point{});
   cr_assert_leq(store.calls.back().wait, duration(milliseconds(100)));
   store.Answer(kStart, store_status::kOk, 40);
   const time_point later = kStart + milliseconds(300);
   cr_assert_eq(store.follower.ConfirmedAt(later), later);
   // A watch that was overtaken stands for nothing either.
-  store.follower.Rewatch(kStart, 50);
+  store.follower.Rewatch(kStart, {0, 50});
   cr_assert_eq(store.follower.ConfirmedAt(later), kStart);
 }
 
@@ -190,7 +192,7 @@
 // stand for the answer of the next call.
 Test(store_follower, the_copy_of_a_page_is_no_next_page) {
   followed_store store;
-  store.follower.Follow(kStart, 0);
+  store.follower.Follow(kStart, {0, 0});
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   cr_assert(store.replaced.empty());
@@ -205,7 +207,7 @@
 // asked for again at once, without end.
 Test(store_follower, a_page_without_names_is_not_asked_for_at_once) {
   followed_store store;
-  store.follower.Follow(kStart, 0);
+  store.follower.Follow(kStart, {0, 0});
   store.Answer(kStart, store_status::kOk, 10, {{"a", false, {}}}, true);
   store.Answer(kStart, store_status::kOk, 10, {}, true);
   cr_assert_eq(store.calls.size(), 2u);
@@ -215,7 +217,7 @@
 
 Test(store_follower, the_copy_of_a_watchs_answer_tells_nothing) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
   store.follower.OnTick(kStart + milliseconds(400));
   const time_point later = kStart + milliseconds(500);
@@ -228,7 +230,7 @@
 // one can read.
 Test(store_follower, reloads_what_another_instance_has_handed_over) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   store.Answer(kStart, store_status::kOk, 40);
   store.follower.Reload(kStart);
   cr_assert_eq(store.calls.back().operation, store_operation::kList);
@@ -248,7 +250,7 @@
 Test(store_follower, a_refresh_asks_at_once) {
   for (const bool is_pausing : {false, true}) {
     followed_store store;
-    store.follower.Follow(kStart, 39);
+    store.follower.Follow(kStart, {0, 39});
     store.Answer(kStart, store_status::kOk, 40, {{"a", false, {}}});
     store.Answer(kStart, store_status::kOk, 41, {{"a", false, {}}});
     if (!is_pausing) store.follower.OnTick(kStart + milliseconds(400));
@@ -264,7 +266,7 @@
 
 Test(store_follower, a_refresh_does_not_press_a_store_that_is_lost) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   store.Answer(kStart, store_status::kNoAnswer, 0);
   const size_t calls = store.calls.size();
   store.follower.Refresh(kStart);
@@ -275,7 +277,7 @@
 // were on their way.
 Test(store_follower, a_watch_that_has_just_been_called_confirms_nothing) {
   followed_store store;
-  store.follower.Follow(kStart, 40);
+  store.follower.Follow(kStart, {0, 40});
   store.Answer(kStart, store_status::kOk, 41);
   const time_point soon = kStart + milliseconds(20);
   cr_assert_eq(store.follower.ConfirmedAt(soon), kStart);
