An earlier word is never taken again, however late and from whomever it comes

The first form of the rule lapsed with the time for which entries are kept: a hand-over of the whole collection after it brought the copy's entry of a draining server back, and an entry that was doubted could not be seen in the digest, so that its removal reached only the follower.

Each listed entry is judged: the store's order tells within an epoch, the server's own between epochs. One whose server had said something later is neither used nor dropped until the server reports again; if the store still lists it when it would have removed a silent one, the store is read again. What has been removed since the return is told with the whole while entries are kept.

--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -90,9 +90,7 @@
         return object.second.epoch != state.position.epoch;
       });
   if (is_return || has_kept) {
-    time_point& until = kept_until_[Index(what)];
-    until = std::max(
-        until, now + std::min(state.kept_for, settings_.written_again_time));
+    KeepFor(now, what, std::min(state.kept_for, settings_.written_again_time));
   }
   switch (what) {
     case collection::kRoutes:
@@ -123,38 +121,49 @@
       changes_from_.revision == 0) {
     changes_from_ = state.position;
   }
-  const bool is_keeping = IsKeeping(now, kWhat);
-  size_t kept = 0;
   const auto held_servers = std::exchange(catalog_.servers, {});
   const auto held = objects_[Index(kWhat)].Clear();
   doubted_servers_.clear();
+  size_t kept = 0;
   for (const auto& [name, read] : state.objects) {
     const server_entry* offered = FindServer(state.servers, name);
     const server_entry* known = FindServer(held_servers, name);
-    if (is_keeping && known != nullptr &&
-        IsLaterReport(now, {held.at(name), *known}, read, offered)) {
-      SetServer(name, held.at(name), known);
-      ++kept;
-    } else if (is_keeping && IsOfRemoved(name, read, offered)) {
-      doubted_servers_[name] = {read, *offered};
-    } else {
-      SetServer(name, read, offered);
+    const store_position known_at = known ? held.at(name) : store_position{};
+    switch (Judge(now, state, name, {known_at, known}, {read, offered})) {
+      case verdict::kTake:
+        SetServer(name, read, offered);
+        break;
+      case verdict::kKeep:
+        SetServer(name, known_at, known);
+        ++kept;
+        break;
+      case verdict::kDoubt:
+        if (known != nullptr) {
+          NoteRemoved(name, state.position, known_at, known);
+        }
+        DoubtServer(name, read.epoch, *offered);
+        break;
+      case verdict::kGone:
+        if (known != nullptr) {
+          NoteRemoved(name, state.position, known_at, known);
+        }
+        break;
     }
   }
   for (const auto& [name, read] : held) {
     if (state.objects.contains(name)) continue;
     const server_entry* known = FindServer(held_servers, name);
-    if (is_keeping && known != nullptr && read.epoch < state.position.epoch) {
+    const bool is_kept = IsKeeping(now, kWhat) && known != nullptr &&
+                         read.epoch < state.position.epoch &&
+                         !state.removed.contains(name);
+    if (is_kept) {
       SetServer(name, read, known);
       ++kept;
-      continue;
+    } else {
+      NoteRemoved(name, state.position, read, known);
     }
-    removed_servers_[name] = {state.position,
-                              known == nullptr ? server_entry{} : *known};
   }
   if (kept == 0 && doubted_servers_.empty()) return;
-  doubted_until_ = kept_until_[Index(kWhat)] - settings_.written_again_time +
-                   settings_.silent_entry_time;
   log_(log_record("servers_kept_over_return")
            .With("epoch", state.position.epoch)
            .With("revision", state.position.revision)
@@ -162,21 +171,43 @@
            .With("doubted", doubted_servers_.size()));
 }
 
-bool catalog_replica::IsLaterReport(time_point now, const read_entry& held,
-                                    store_position offered_at,
-                                    const server_entry* offered) const {
-  return offered != nullptr && held.read.epoch != offered_at.epoch &&
-         IsEarlierReport(*offered, held.entry) &&
-         !SaysTheSame(now, *offered, held.entry);
+catalog_replica::verdict catalog_replica::Judge(
+    time_point now, const collection_export& state, const std::string& name,
+    const read_server& known, const read_server& offered) const {
+  if (offered.entry == nullptr) return verdict::kTake;
+  // The other instance has kept it over a return. What this one has heard of
+  // the server since then says that it is gone.
+  const bool is_kept_there = offered.read.epoch < state.position.epoch;
+  const auto removed = removed_servers_.find(name);
+  const bool is_removed = removed != removed_servers_.end();
+  const bool has_later = known.entry != nullptr &&
+                         known.read.epoch > offered.read.epoch &&
+                         !IsEarlierReport(*known.entry, *offered.entry);
+  const bool is_told_gone =
+      is_removed && removed->second.removed_at.epoch == state.position.epoch;
+  if (is_kept_there && (has_later || is_told_gone)) return verdict::kGone;
+  if (known.entry != nullptr && IsEarlierWord(now, offered, known)) {
+    return IsKeeping(now, collection::kServers) ? verdict::kKeep
+                                                : verdict::kDoubt;
+  }
+  // Its revision is left out by an instance that doubts it.
+  if (offered.read.revision == 0) return verdict::kDoubt;
+  if (!is_removed) return verdict::kTake;
+  const read_entry& last = removed->second.last;
+  const bool is_earlier = last.read.revision != 0 &&
+                          last.read.epoch != offered.read.epoch &&
+                          !IsEarlierReport(last.entry, *offered.entry);
+  return is_earlier ? verdict::kDoubt : verdict::kTake;
 }
 
-bool catalog_replica::IsOfRemoved(const std::string& name,
-                                  store_position offered_at,
-                                  const server_entry* offered) const {
-  const auto removed = removed_servers_.find(name);
-  return offered != nullptr && removed != removed_servers_.end() &&
-         removed->second.read.epoch < offered_at.epoch &&
-         !IsEarlierReport(removed->second.entry, *offered);
+bool catalog_replica::IsEarlierWord(time_point now, const read_server& offered,
+                                    const read_server& known) {
+  const bool is_doubted_there = offered.read.revision == 0;
+  if (known.read.epoch == offered.read.epoch && !is_doubted_there) {
+    return offered.read.revision < known.read.revision;
+  }
+  return IsEarlierReport(*offered.entry, *known.entry) &&
+         !SaysTheSame(now, *offered.entry, *known.entry);
 }
 
 void catalog_replica::TakeWithdrawals(time_point now,
@@ -236,13 +267,29 @@
     return false;
   }
   if (position.epoch != held.epoch) {
-    kept_until_[Index(what)] = now + settings_.written_again_time;
+    KeepFor(now, what, settings_.written_again_time);
   }
   const size_t before = catalog_.unconfirmed_domains.size();
   SetPosition(what, position);
   return catalog_.unconfirmed_domains.size() != before;
 }
 
+void catalog_replica::KeepFor(time_point now, collection what, duration time) {
+  time_point& until = kept_until_[Index(what)];
+  until = std::max(until, now + time);
+  if (what != collection::kServers) return;
+  doubted_until_ =
+      until - settings_.written_again_time + settings_.silent_entry_time;
+}
+
+void catalog_replica::DoubtServer(const std::string& name, store_epoch epoch,
+                                  const server_entry& listed) {
+  doubted_servers_[name] = listed;
+  // Another digest than with the entry in use, and than without it. Tells other
+  // instances that the entry is doubted.
+  objects_[Index(collection::kServers)].Set(name, {epoch, 0});
+}
+
 void catalog_replica::SetPosition(collection what, store_position position) {
   positions_[Index(what)] = position;
   catalog_.unconfirmed_domains =
@@ -264,17 +311,30 @@
 
 void catalog_replica::DropServer(const std::string& name,
                                  store_position position) {
-  doubted_servers_.erase(name);
-  if (!objects_[Index(collection::kServers)].Drop(name)) return;
-  const server_entry* known = FindServer(catalog_.servers, name);
-  removed_servers_[name] = {position,
-                            known == nullptr ? server_entry{} : *known};
+  object_index& index = objects_[Index(collection::kServers)];
+  const auto held = index.All().find(name);
+  if (held == index.All().end()) return;
+  // What is known of one that is doubted stays known.
+  if (doubted_servers_.erase(name) == 0) {
+    NoteRemoved(name, position, held->second,
+                FindServer(catalog_.servers, name));
+  }
+  removed_servers_[name].removed_at = position;
+  index.Drop(name);
   catalog_.servers.erase(name);
   if (removed_servers_.size() <= kMostRemoved) return;
   removed_servers_.clear();
   changes_from_ = position;
 }
 
+void catalog_replica::NoteRemoved(const std::string& name,
+                                  store_position removed_at,
+                                  store_position read,
+                                  const server_entry* last) {
+  removed_servers_[name] = {removed_at, {}};
+  if (last != nullptr) removed_servers_[name].last = {read, *last};
+}
+
 void catalog_replica::Apply(collection what, const store_object& object,
                             store_position position) {
   const store_position read{position.epoch, object.revision};
@@ -314,11 +374,13 @@
     EndKeeping(what);
     is_changed = is_changed || Digest(what) != before;
   }
-  if (doubted_servers_.empty() || now < doubted_until_) return is_changed;
-  for (const auto& [name, known] : std::exchange(doubted_servers_, {})) {
-    SetServer(name, known.read, &known.entry);
+  if (now < doubted_until_) return is_changed;
+  // A server that has reported the same again is told by a list alone.
+  doubted_until_ = kNever;
+  if (!doubted_servers_.empty()) {
+    needs_own_reading_[Index(collection::kServers)] = true;
   }
-  return true;
+  return is_changed;
 }
 
 void catalog_replica::EndKeeping(collection what) {
@@ -403,13 +465,19 @@
     const server_entry* server = FindServer(catalog_.servers, name);
     if (server != nullptr) state.servers[name] = *server;
   }
+  if (what == collection::kServers && !knows_changes) {
+    state.servers.insert(doubted_servers_.begin(), doubted_servers_.end());
+  }
   if (what == collection::kRoutes) state.routes = catalog_.routes;
   if (what == collection::kWithdrawals) {
     state.withdrawn_domains = catalog_.withdrawn_domains;
   }
-  if (knows_changes) {
+  // With the whole: what must not be kept over the store's return.
+  if (knows_changes || (what == collection::kServers && IsKeeping(now, what))) {
     for (const auto& [name, removed] : removed_servers_) {
-      if (is_told(removed.read)) state.removed.push_back(name);
+      const bool is_of_epoch = removed.removed_at.epoch == state.position.epoch;
+      if (is_of_epoch && is_told(removed.removed_at))
+        state.removed.insert(name);
     }
   }
   return EncodeCollection(now, what, state);
@@ -453,6 +521,9 @@
   if (state.since != 0) return TakeChanges(state);
   if (is_newer) {
     TakeWhole(now, what, state);
+    if (!doubted_servers_.empty() && doubted_until_ == kNever) {
+      doubted_until_ = now + settings_.silent_entry_time;
+    }
   } else {
     TakeRoutes(state.routes);
   }
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -21,9 +21,7 @@
   /// writers write it again: the platform promises some two seconds, and the
   /// rest is for the way of the news.
   duration written_again_time = std::chrono::milliseconds(2500);
-  /// After the store's return an entry of a server that had been removed is its
-  /// server's own if the store still has it after this long: by then it removes
-  /// those of servers that do not report.
+  /// After this long without reports the store removes a server's entry.
   duration silent_entry_time = std::chrono::milliseconds(3600);
 };
 
@@ -78,7 +76,8 @@
   /// True if every collection is known.
   bool IsComplete() const;
   /// True if the collection came from an instance with an earlier version of
-  /// the program, which may not be able to read all of it.
+  /// the program, which may not be able to read all of it, or entries are
+  /// doubted that the store should have replaced or removed by now.
   bool NeedsOwnReading(collection what) const {
     return needs_own_reading_[Index(what)];
   }
@@ -89,7 +88,25 @@
     store_position read;
     server_entry entry;
   };
-  using read_entries = std::map<std::string, read_entry>;
+  struct read_server {
+    store_position read;
+    /// Null if there is none that can be read.
+    const server_entry* entry = nullptr;
+  };
+  enum class verdict : uint8_t {
+    /// It comes into use.
+    kTake,
+    /// What is held stays: a later word, which the store has lost.
+    kKeep,
+    /// Neither is used until the server reports again.
+    kDoubt,
+    kGone,
+  };
+  struct removed_server {
+    store_position removed_at;
+    /// Revision 0 if it could not be read.
+    read_entry last;
+  };
 
   static size_t Index(collection what) { return static_cast<size_t>(what); }
 
@@ -105,15 +122,20 @@
   void SetServer(const std::string& name, store_position read,
                  const server_entry* entry);
   void DropServer(const std::string& name, store_position position);
-  /// True if the entry was read in an earlier epoch and its server has reported
-  /// it later than the one that is offered now.
-  bool IsLaterReport(time_point now, const read_entry& held,
-                     store_position offered_at,
-                     const server_entry* offered) const;
-  /// True if the store told in an earlier epoch that the server was gone, after
-  /// it had reported what is offered now.
-  bool IsOfRemoved(const std::string& name, store_position offered_at,
-                   const server_entry* offered) const;
+  void NoteRemoved(const std::string& name, store_position removed_at,
+                   store_position read, const server_entry* last);
+  /// What becomes of an entry that the store or another instance lists.
+  verdict Judge(time_point now, const collection_export& state,
+                const std::string& name, const read_server& known,
+                const read_server& offered) const;
+  /// True if the server has reported `offered` before `known`: the store's
+  /// order tells within an epoch, and the server's own between epochs.
+  static bool IsEarlierWord(time_point now, const read_server& offered,
+                            const read_server& known);
+  void KeepFor(time_point now, collection what, duration time);
+  /// Takes note of an entry without using it.
+  void DoubtServer(const std::string& name, store_epoch epoch,
+                   const server_entry& listed);
   bool IsKeeping(time_point now, collection what) const {
     return now < kept_until_[Index(what)];
   }
@@ -132,12 +154,13 @@
   /// Until when objects that were read in an earlier epoch are kept.
   std::array<time_point, kCollections> kept_until_{};
   returned_domains returned_;
-  /// Servers that are gone, with the position by which they were and what they
-  /// had reported last.
-  read_entries removed_servers_;
-  /// Entries of such servers that the store lists again after its return.
-  read_entries doubted_servers_;
-  time_point doubted_until_{};
+  /// Servers that are gone.
+  std::map<std::string, removed_server> removed_servers_;
+  /// Entries that the store lists after its return, and that their servers had
+  /// followed by others before.
+  std::map<std::string, server_entry> doubted_servers_;
+  /// When the store is to be read again if there are any; kNever if it was.
+  time_point doubted_until_ = kNever;
   /// Changes of servers are known from this position on.
   store_position changes_from_;
   std::array<bool, kCollections> needs_whole_{};
--- a/poplarstair/catalog/collection_codec.cc
+++ b/poplarstair/catalog/collection_codec.cc
@@ -248,7 +248,7 @@
   for (const auto& [name, read] : state.objects) {
     fields.objects.push_back({name, read.revision, read.epoch});
   }
-  fields.removed = state.removed;
+  fields.removed.assign(state.removed.begin(), state.removed.end());
   return EncodeMessage(fields);
 }
 
@@ -278,7 +278,7 @@
   for (const object_fields& o : fields.objects) {
     state.objects[o.name] = {o.epoch, o.revision};
   }
-  state.removed = fields.removed;
+  state.removed.insert(fields.removed.begin(), fields.removed.end());
   return state;
 }
 
--- a/poplarstair/catalog/collection_codec.h
+++ b/poplarstair/catalog/collection_codec.h
@@ -3,6 +3,7 @@
 #define POPLARSTAIR_CATALOG_COLLECTION_CODEC_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,8 +26,8 @@
   std::vector<std::string> withdrawn_domains;
   /// Objects, also those that name nothing to use.
   std::map<std::string, store_position> objects;
-  /// Names of objects that are gone.
-  std::vector<std::string> removed;
+  /// Names of objects that are gone, as the store has told in this epoch.
+  std::set<std::string> removed;
   /// For how long what was known before the store's return is still kept.
   duration kept_for = duration::zero();
   /// kVocabularyVersion of the sender; 0 from instances that do not send it.
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -141,7 +141,9 @@
     peers_.OnTick(now);
     steering_.SetHasNeighbours(peers_.HasNeighbours());
     for (const auto& follower : followers_) follower->OnTick(now);
+    const bool was_needed = replica_.NeedsOwnReading(collection::kServers);
     if (replica_.OnTick(now)) OnCatalogChange(now, false);
+    if (!was_needed) ReadAnewIfNeeded(collection::kServers);
     UpdateConfirmed(now);
     ContinueStart(now);
     UpdateFollowing(now);
@@ -187,7 +189,7 @@
     state["backend_servers"] = replica_.Current().servers.size();
     state["withdrawn_domains"] = replica_.Current().withdrawn_domains;
     state["catalog_age_ms"] = (now - confirmed_at_).count() / 1000;
-    state["store_epoch"] = replica_.Position(collection::kRoutes).epoch;
+    state["store_positions"] = Positions();
     state["follows_store"] = followers_[0]->IsFollowing();
     state["flows"] = steering_.OpenFlows();
     state["slowest_servers"] = SlowestServers(now);
@@ -247,6 +249,17 @@
     return listed;
   }
 
+  /// As of when each collection is known, for operators.
+  nlohmann::json Positions() const {
+    nlohmann::json listed = nlohmann::json::object();
+    for (const collection what : kAllCollections) {
+      const store_position position = replica_.Position(what);
+      listed[std::string(NameOf(what))] = {{"epoch", position.epoch},
+                                           {"revision", position.revision}};
+    }
+    return listed;
+  }
+
   /// Parts of the configuration that can't be read, for operators.
   nlohmann::json UnreadParts() const {
     const route_table& table = replica_.Current().routes;
--- a/poplarstair/testing/catalog_store_fake.h
+++ b/poplarstair/testing/catalog_store_fake.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,7 @@
   /// All that was written after `copy` is lost, and its revisions are given out
   /// again.
   void ComeBack(store_revision copy) {
+    before_ = std::make_shared<catalog_store_fake>(*this);
     ++epoch_;
     revision_ = copy;
     std::erase_if(history_,
@@ -58,6 +60,11 @@
     for (const change& c : history_) Apply(c.what, c.object);
   }
 
+  /// As it was before its last return; its answers may arrive late.
+  const catalog_store_fake& Before() const {
+    return before_ ? *before_ : *this;
+  }
+
   /// Called after each change.
   std::function<void()> changed;
 
@@ -93,6 +100,7 @@
     }
   }
 
+  std::shared_ptr<const catalog_store_fake> before_;
   store_epoch epoch_ = 1;
   store_revision revision_ = 10;
   std::map<std::pair<collection, std::string>, store_object> objects_;
--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -44,6 +44,7 @@
                  time_point cold_until = time_point{}, int64_t born_ms = 0) {
     server_entry server;
     server.born_ms = born_ms;
+    server.reports = ++reports_;
     server.cold_until = cold_until;
     server.id = backend_server_id(id);
     server.service = "s";
@@ -134,6 +135,17 @@
     return nlohmann::json::parse(
         nodes_.at(i)->instance->StateJson(queue.Now()));
   }
+  /// What instance `i` holds.
+  catalog CatalogOf(size_t i) const {
+    catalog_replica copy([](const log_record&) {});
+    for (const collection what : {collection::kRoutes, collection::kServers,
+                                  collection::kWithdrawals}) {
+      copy.Import(
+          queue.Now(), what,
+          nodes_.at(i)->instance->ExportCollection(queue.Now(), what, {}));
+    }
+    return copy.Current();
+  }
   bool Knows(size_t i, uint64_t version) const {
     return State(i)["routes_version"] == version;
   }
@@ -162,6 +174,12 @@
   event_queue queue;
   catalog_store_fake store;
   bool is_store_down = false;
+  /// May change an answer of the store; returns how much later it arrives.
+  std::function<duration(store_reply&)> on_answer = [](store_reply&) {
+    return duration::zero();
+  };
+  /// True if a call gets an answer of before the store's last return.
+  std::function<bool()> answers_as_before = [] { return false; };
   /// How long the store takes to answer a list.
   duration list_delay = kDelay;
   /// Instances that the store turns away.
@@ -310,10 +328,12 @@
       return Answer(i, owner, kDelay,
                     {request.id, store_status::kUnavailable, 0, {}, false});
     }
+    const catalog_store_fake& answering =
+        answers_as_before() ? store.Before() : store;
     if (request.operation == store_operation::kList) {
-      return Answer(i, owner, list_delay, store.List(request));
+      return Answer(i, owner, list_delay, answering.List(request));
     }
-    const store_reply changes = store.Changes(request);
+    const store_reply changes = answering.Changes(request);
     if (IsNews(changes)) return Answer(i, owner, kDelay, changes);
     watches_.push_back({i, nodes_[i].get(), request, queue.Now()});
     Later(i, owner, request.wait,
@@ -325,6 +345,7 @@
   }
 
   void Answer(size_t i, const node* owner, duration delay, store_reply reply) {
+    delay += on_answer(reply);
     Later(i, owner, delay,
           [this, reply = std::move(reply)](entry_instance& instance) {
             instance.OnStoreReply(queue.Now(), reply);
@@ -353,6 +374,7 @@
   bool is_first_start_ = false;
   random_source random_;
   incarnation last_life_ = 100;
+  uint64_t reports_ = 0;
   std::map<size_t, std::unique_ptr<node>> nodes_;
   std::vector<waiting_watch> watches_;
 };
