poplarctl explain names the store's return from a copy

A refusal for an unknown route or for want of servers within four seconds of the return that its instance had noticed is of cause store_restored, with the line that tells of it; before it passed for no_route or no_server.

--- a/poplarstair/diagnosis/failure_explainer.cc
+++ b/poplarstair/diagnosis/failure_explainer.cc
@@ -18,6 +18,9 @@
 /// logs nothing until it has started again, and a server is reported silent
 /// only after its clients have retransmitted.
 constexpr milliseconds kLookAhead(2500);
+/// How long the store lacks entries after its return from a copy: until they
+/// are written again, or those of servers that have gone lapse.
+constexpr milliseconds kWrittenAgain(4000);
 /// When at least this many servers of one failure domain are silent, the whole
 /// domain counts as unreachable.
 constexpr size_t kMinServersUnreachable = 3;
@@ -59,12 +62,13 @@
   }
 
  private:
-  /// Lines that pass `test`, from kLookBack before the request was sent until
+  /// Lines that pass `test`, from `look_back` before the request was sent until
   /// kLookAhead after it failed.
-  std::vector<const log_line*> FindNearby(const line_predicate& test) const {
+  std::vector<const log_line*> FindNearby(
+      const line_predicate& test, milliseconds look_back = kLookBack) const {
     std::vector<const log_line*> near;
     for (const log_line& line : lines_) {
-      if (line.at < failed_.sent_at - kLookBack) continue;
+      if (line.at < failed_.sent_at - look_back) continue;
       if (line.at > failed_.ended_at + kLookAhead) break;
       if (test(line)) near.push_back(&line);
     }
@@ -91,6 +95,18 @@
     return true;
   }
 
+  /// Returns of the store from a copy that may have cost what the flow was
+  /// refused for.
+  std::vector<const log_line*> FindReturns(const log_line& refused) const {
+    if (refused.Field("reason") == "no_room") return {};
+    return FindNearby(
+        [&](const log_line& line) {
+          return line.event == "store_restored" &&
+                 line.instance == refused.instance && line.at <= refused.at;
+        },
+        kWrittenAgain);
+  }
+
   bool CheckRefusal() {
     const auto refused = FindNearby([this](const log_line& line) {
       return IsAboutFlow(line) && line.event == "flow_refused" &&
@@ -99,6 +115,12 @@
     if (refused.empty()) return false;
     const std::string reason(refused.back()->Field("reason"));
     const std::string& instance = refused.back()->instance;
+    if (const auto returns = FindReturns(*refused.back()); !returns.empty()) {
+      return SetResult(failure_cause::kStoreRestored,
+                       "the store had come back from a copy, and " + instance +
+                           " refused with " + reason,
+                       returns);
+    }
     if (reason == "unknown_route") {
       return SetResult(failure_cause::kNoRoute,
                        instance + " had no such route in version " +
--- a/poplarstair/diagnosis/failure_explainer.h
+++ b/poplarstair/diagnosis/failure_explainer.h
@@ -32,13 +32,16 @@
   kInstanceNotReady,
   /// The service had no room for a flow of its priority.
   kNoRoom,
+  /// The store had come back from a copy and lacked what was needed.
+  kStoreRestored,
 };
 
 template <>
 struct enum_names<failure_cause> {
   static constexpr std::string_view kNames[] = {
       "unknown",        "no_route",      "no_server",          "server_silent",
-      "domain_cut_off", "instance_lost", "instance_not_ready", "no_room"};
+      "domain_cut_off", "instance_lost", "instance_not_ready", "no_room",
+      "store_restored"};
 };
 
 /// A failed request as its client saw it.
--- a/unit_tests/diagnosis/failure_explainer_test.cc
+++ b/unit_tests/diagnosis/failure_explainer_test.cc
@@ -116,6 +116,23 @@
   cr_assert_eq(no_room.evidence.size(), 2u);
 }
 
+Test(failure_explainer, reports_the_stores_return_from_a_copy) {
+  const std::string refused =
+      Line("100.100", "c-1",
+           std::string("event=flow_refused flow=") + kFlow +
+               " reason=unknown_route routes_version=7 outcome=reset");
+  const std::string restored = "event=store_restored epoch=2 before=1";
+  const explanation found = Explain(Line("98.000", "c-1", restored) + refused);
+  cr_assert_eq(found.cause, failure_cause::kStoreRestored);
+  cr_assert_eq(found.evidence.size(), 2u);
+  // Long before, after the refusal, and elsewhere.
+  cr_assert_eq(Explain(Line("90.000", "c-1", restored) + refused +
+                       Line("100.200", "c-1", restored) +
+                       Line("99.000", "a-1", restored))
+                   .cause,
+               failure_cause::kNoRoute);
+}
+
 Test(failure_explainer, reports_unknown_when_no_log_line_is_relevant) {
   cr_assert_eq(Explain(Placed("80.000", "c-1")).cause, failure_cause::kUnknown);
   // The server was silent ten seconds before the request, too early to be the
