Tests of each rule over the store's return

Follower: lists anew in a later epoch, whatever the answer; makes no list of pages of two epochs; takes no answer of an earlier or without an epoch. Replica: order by epoch, draining over a return, servers that had left, what is kept and for how long. Fleet: later routes than the store's, silent watches over the return. The last two fail without has_later_routes and without OnEpochHeard, which the random returns did not show.

--- a/poplarstair/testing/entry_fleet.h
+++ b/poplarstair/testing/entry_fleet.h
@@ -186,11 +186,18 @@
   std::set<size_t> refused;
   /// The connections of all waiting watches go silent; new ones work.
   void SilenceWatches() {
-    for (const waiting_watch& w : watches_) {
+    for (const collection what : {collection::kRoutes, collection::kServers,
+                                  collection::kWithdrawals}) {
+      SilenceWatches(what);
+    }
+  }
+  void SilenceWatches(collection what) {
+    std::erase_if(watches_, [&](const waiting_watch& w) {
+      if (w.request.what != what) return false;
       Answer(w.index, w.owner, w.since + w.request.timeout - queue.Now(),
              {w.request.id, store_status::kNoAnswer, 0, {}, false});
-    }
-    watches_.clear();
+      return true;
+    });
   }
   /// The store goes away, and comes back with what it held at `copy`. All
   /// watches are cut off.
--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -309,3 +309,102 @@
   second.Replace(kNow, collection::kRoutes, {0, 5}, {Routes(3)});
   cr_assert_not(second.NeedsOwnReading(collection::kRoutes));
 }
+
+namespace {
+
+/// What a server has reported as its `reports`th word.
+store_object Reported(const std::string& name, server_state state,
+                      uint64_t reports, store_revision revision) {
+  store_object object = Server(name, 1);
+  auto& entry = std::get<server_entry>(object.content);
+  entry.state = state;
+  entry.reports = reports;
+  object.revision = revision;
+  return object;
+}
+
+}  // namespace
+
+Test(catalog_replica, an_epoch_comes_after_all_revisions_of_an_earlier_one) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kServers, {1, 90}, {Server("i-1", 1)});
+  const content_digest before = replica.Digest(collection::kServers);
+  cr_assert_not(
+      replica.Change(kNow, collection::kServers, {2, 95}, {Server("i-2", 2)}));
+  cr_assert(
+      replica.Replace(kNow, collection::kServers, {2, 5}, {Server("i-1", 1)}));
+  cr_assert_neq(replica.Digest(collection::kServers), before,
+                "the same revision stands for another content");
+  cr_assert_not(
+      replica.Replace(kNow, collection::kServers, {1, 99}, {Server("i-9", 9)}));
+  catalog_replica old = MakeReplica();
+  old.Replace(kNow, collection::kServers, {1, 99}, {Server("i-9", 9)});
+  cr_assert_not(
+      replica.Import(kNow, collection::kServers,
+                     old.Export(kNow, collection::kServers, {1, 90})));
+  // Changes are handed over within an epoch only.
+  cr_assert(old.Import(kNow, collection::kServers,
+                       replica.Export(kNow, collection::kServers, {1, 99})));
+  cr_assert_eq(old.Position(collection::kServers), (store_position{2, 5}));
+}
+
+Test(catalog_replica, a_server_that_drains_does_so_over_a_return) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kServers, {1, 20},
+                  {Reported("i-1", server_state::kDraining, 9, 20)});
+  const auto copy = Reported("i-1", server_state::kReady, 5, 12);
+  replica.Replace(kNow, collection::kServers, {2, 13}, {copy});
+  const auto& servers = replica.Current().servers;
+  cr_assert_eq(servers.at("i-1").state, server_state::kDraining);
+  // Not written again: it is gone, whatever the store still lists.
+  const time_point late = kNow + std::chrono::seconds(3);
+  cr_assert(replica.OnTick(late));
+  replica.Replace(late, collection::kServers, {2, 14}, {copy});
+  cr_assert_not(servers.contains("i-1"));
+  replica.OnTick(kNow + std::chrono::seconds(5));
+  cr_assert(replica.NeedsOwnReading(collection::kServers));
+  // Its own next word counts.
+  replica.Change(late, collection::kServers, {2, 15},
+                 {Reported("i-1", server_state::kReady, 10, 15)});
+  cr_assert_eq(servers.at("i-1").state, server_state::kReady);
+}
+
+Test(catalog_replica, a_server_that_had_left_is_not_back_from_a_copy) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kServers, {1, 20},
+                  {Reported("i-1", server_state::kReady, 9, 20)});
+  replica.Change(kNow, collection::kServers, {1, 21}, {{"i-1", true, {}, 20}});
+  const auto copy = Reported("i-1", server_state::kReady, 9, 20);
+  replica.Replace(kNow, collection::kServers, {2, 20}, {copy});
+  cr_assert(replica.Current().servers.empty());
+  // Nor at one that starts and takes the catalog over.
+  catalog_replica other = MakeReplica();
+  other.Import(kNow, collection::kServers,
+               replica.Export(kNow, collection::kServers));
+  cr_assert(other.Current().servers.empty());
+  // The store still lists it, with a later report that was no news.
+  replica.Replace(kNow, collection::kServers, {2, 21},
+                  {Reported("i-1", server_state::kReady, 12, 20)});
+  cr_assert(replica.Current().servers.contains("i-1"));
+}
+
+Test(catalog_replica, what_a_copy_lacks_is_kept_until_it_is_written_again) {
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kServers, {1, 20},
+                  {Server("i-1", 1), Server("i-2", 2)});
+  replica.Replace(kNow, collection::kWithdrawals, {1, 20},
+                  {{"z", false, {}, 9}});
+  replica.Replace(kNow, collection::kRoutes, {1, 20}, {Routes(8)});
+  replica.Replace(kNow, collection::kServers, {2, 5}, {Server("i-2", 2)});
+  replica.Replace(kNow, collection::kWithdrawals, {2, 5}, {});
+  replica.Replace(kNow, collection::kRoutes, {2, 5}, {Routes(3)});
+  const catalog& known = replica.Current();
+  cr_assert_eq(known.servers.size(), 2u);
+  cr_assert_eq(known.withdrawn_domains.size(), 1u);
+  cr_assert_eq(known.routes.version, 8u);
+  cr_assert_not(replica.OnTick(kNow + std::chrono::seconds(2)));
+  cr_assert(replica.OnTick(kNow + std::chrono::seconds(3)));
+  cr_assert_eq(known.servers.size(), 1u);
+  cr_assert(known.withdrawn_domains.empty());
+  cr_assert_eq(known.routes.version, 8u, "a version never goes back");
+}
--- a/unit_tests/catalog/store_follower_test.cc
+++ b/unit_tests/catalog/store_follower_test.cc
@@ -34,14 +34,22 @@
        },
        [this](store_position p, auto) { changed.push_back(p.revision); },
        [this](store_position p) { confirmed.push_back(p.revision); },
-       [this](store_epoch epoch) { epochs.push_back(epoch); },
+       [this](store_epoch begun) { epochs.push_back(begun); },
        [](const log_record&) {}}};
 
   void Answer(time_point now, store_status status, store_revision revision,
               std::vector<store_object> objects = {}, bool has_more = false) {
-    follower.OnReply(
-        now, {calls.back().id, status, revision, std::move(objects), has_more});
+    follower.OnReply(now, {calls.back().id,
+                           status,
+                           revision,
+                           std::move(objects),
+                           has_more,
+                           {},
+                           epoch});
   }
+
+  /// Of the answers.
+  std::optional<store_epoch> epoch;
 };
 
 }  // namespace
@@ -284,3 +292,71 @@
   const time_point later = kStart + milliseconds(100);
   cr_assert_eq(store.follower.ConfirmedAt(later), later);
 }
+
+// Revisions that had overtaken those of before passed for the next changes.
+Test(store_follower, lists_anew_when_the_store_is_back_from_a_copy) {
+  for (const auto status : {store_status::kOk, store_status::kHistoryGone,
+                            store_status::kUnavailable}) {
+    followed_store store;
+    store.epoch = 1;
+    store.follower.Follow(kStart, {1, 40});
+    store.Answer(kStart, store_status::kOk, 40);
+    store.epoch = 2;
+    store.Answer(kStart, status, 44, {{"a", true, {}}});
+    store.follower.OnTick(kStart + milliseconds(300));
+    cr_assert_eq(store.calls.back().operation, store_operation::kList);
+    cr_assert(store.changed.empty());
+    cr_assert_eq(store.epochs.at(0), 2u);
+    store.Answer(kStart + milliseconds(300), store_status::kOk, 20);
+    cr_assert_eq(store.replaced.at(0), 20u);
+    cr_assert_eq(store.follower.Epoch(), 2u);
+  }
+}
+
+Test(store_follower, pages_of_two_epochs_make_no_list) {
+  followed_store store;
+  store.epoch = 1;
+  store.follower.Follow(kStart, {});
+  store.Answer(kStart, store_status::kOk, 40, {{"a", false, {}}}, true);
+  store.epoch = 2;
+  store.Answer(kStart, store_status::kOk, 20, {{"b", false, {}}});
+  cr_assert(store.replaced.empty());
+  cr_assert_eq(store.calls.back().after, "");
+  store.Answer(kStart, store_status::kOk, 20, {{"a", false, {}}});
+  cr_assert_eq(store.replaced_objects.at(0), 1u);
+}
+
+Test(store_follower, takes_no_answer_that_has_no_place_in_the_order) {
+  for (const std::optional<store_epoch> epoch :
+       {std::optional<store_epoch>(1), std::optional<store_epoch>()}) {
+    followed_store store;
+    store.epoch = 2;
+    store.follower.Follow(kStart, {2, 40});
+    store.Answer(kStart, store_status::kOk, 40);
+    store.epoch = epoch;
+    store.Answer(kStart, store_status::kOk, 44, {{"a", true, {}}});
+    cr_assert(store.changed.empty());
+    // The next one counts again.
+    store.follower.OnTick(kStart + milliseconds(300));
+    cr_assert_eq(store.calls.back().revision, 40u);
+    store.epoch = 2;
+    store.Answer(kStart + milliseconds(300), store_status::kOk, 44,
+                 {{"a", true, {}}});
+    cr_assert_eq(store.changed.size(), 1u);
+  }
+}
+
+Test(store_follower, goes_on_from_no_state_of_an_earlier_epoch) {
+  followed_store store;
+  store.epoch = 2;
+  store.follower.Follow(kStart, {});
+  store.Answer(kStart, store_status::kOk, 20);
+  store.follower.Stop();
+  store.follower.Follow(kStart, {1, 40});
+  cr_assert_eq(store.calls.back().operation, store_operation::kList);
+  store.Answer(kStart, store_status::kOk, 20);
+  store.follower.OnEpochHeard(kStart, 2);
+  cr_assert_eq(store.calls.back().operation, store_operation::kWatch);
+  store.follower.OnEpochHeard(kStart, 3);
+  cr_assert_eq(store.calls.back().operation, store_operation::kList);
+}
--- a/unit_tests/platform/store_codec_test.cc
+++ b/unit_tests/platform/store_codec_test.cc
@@ -388,3 +388,21 @@
   cr_assert_eq(FromStoreAnswer(kNow, request, std::nullopt).status,
                store_status::kNoAnswer);
 }
+
+// All answers tell the epoch, also those without content.
+Test(store_codec, reads_the_epoch_of_every_answer) {
+  const auto epoch_of = [](int status, const std::string& header) {
+    const http_reply answer{
+        status, {{"store-era", header}}, R"({"items":[],"at_rev":9})"};
+    return FromStoreAnswer(kNow, ListOf(collection::kServers), answer).epoch;
+  };
+  for (const int status : {200, 410, 429, 503}) {
+    cr_assert_eq(epoch_of(status, "7"), store_epoch{7});
+  }
+  for (const char* bad : {"", "x", "-1", "7x", "7.5", "99999999999999999999"}) {
+    cr_assert_not(epoch_of(200, bad).has_value(), "%s", bad);
+  }
+  cr_assert_not(
+      Decode(ListOf(collection::kServers), 200, R"({"items":[],"at_rev":9})")
+          .epoch.has_value());
+}
--- a/unit_tests/steering/store_return_test.cc
+++ b/unit_tests/steering/store_return_test.cc
@@ -256,3 +256,39 @@
     site.ExpectTruth(seed);
   }
 }
+
+// The routes of the copy were in force at an instance that had read the store
+// before the operator had written the later ones again.
+Test(store_return, one_that_starts_takes_later_routes_than_the_stores) {
+  entry_fleet fleet(kInstances, kDomains, 2);
+  fleet.RunFor(seconds(5));
+  const store_revision copy = fleet.store.Revision();
+  fleet.SetRoutes(9);
+  fleet.RunFor(seconds(2));
+  fleet.ReturnStore(copy, seconds(1));
+  fleet.is_cut = [](size_t a, size_t b) { return (a == 7) != (b == 7); };
+  fleet.Add(7);
+  fleet.RunFor(seconds(2));
+  cr_assert(fleet.Knows(7, 1));
+  fleet.is_cut = [](size_t, size_t) { return false; };
+  fleet.RunFor(seconds(4));
+  cr_assert_eq(fleet.Behind(9), 0u);
+}
+
+// The connections of the watches of servers stayed silent over the return.
+Test(store_return, one_answer_of_the_new_epoch_is_enough_for_all_collections) {
+  entry_fleet fleet(kInstances, kDomains, 3);
+  fleet.RunFor(seconds(5));
+  const store_revision copy = fleet.store.Revision();
+  fleet.SetRoutes(2);
+  fleet.RunFor(seconds(5));
+  fleet.SilenceWatches(collection::kServers);
+  fleet.store.ComeBack(copy);
+  fleet.SetServer(1, server_state::kDraining);
+  fleet.SetRoutes(3);
+  fleet.RunFor(milliseconds(600));
+  for (size_t i = 0; i < kInstances; ++i) {
+    cr_assert_eq(fleet.CatalogOf(i).servers.at("i-1").state,
+                 server_state::kDraining, "instance %zu", i);
+  }
+}
