A doubted entry is marked by a revision that no store gives

Revision 0 marked it; an object that tells no revision has the same, and its server would not have been used any more. Changes hand the mark on too. A first epoch of 0 hid the first return from the other followers. Found by reading; a_server_whose_entry_tells_no_revision_is_used fails before.

--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -141,7 +141,7 @@
         if (known != nullptr) {
           NoteRemoved(name, state.position, known_at, known);
         }
-        DoubtServer(name, read.epoch, *offered);
+        DoubtServer(now, name, read.epoch, *offered);
         break;
       case verdict::kGone:
         if (known != nullptr) {
@@ -190,8 +190,7 @@
     return IsKeeping(now, collection::kServers) ? verdict::kKeep
                                                 : verdict::kDoubt;
   }
-  // Its revision is left out by an instance that doubts it.
-  if (offered.read.revision == 0) return verdict::kDoubt;
+  if (offered.read.revision == kDoubtedRevision) return verdict::kDoubt;
   if (!is_removed) return verdict::kTake;
   const read_entry& last = removed->second.last;
   const bool is_earlier = last.read.revision != 0 &&
@@ -202,7 +201,7 @@
 
 bool catalog_replica::IsEarlierWord(time_point now, const read_server& offered,
                                     const read_server& known) {
-  const bool is_doubted_there = offered.read.revision == 0;
+  const bool is_doubted_there = offered.read.revision == kDoubtedRevision;
   if (known.read.epoch == offered.read.epoch && !is_doubted_there) {
     return offered.read.revision < known.read.revision;
   }
@@ -282,12 +281,16 @@
       until - settings_.written_again_time + settings_.silent_entry_time;
 }
 
-void catalog_replica::DoubtServer(const std::string& name, store_epoch epoch,
+void catalog_replica::DoubtServer(time_point now, const std::string& name,
+                                  store_epoch epoch,
                                   const server_entry& listed) {
   doubted_servers_[name] = listed;
-  // Another digest than with the entry in use, and than without it. Tells other
-  // instances that the entry is doubted.
-  objects_[Index(collection::kServers)].Set(name, {epoch, 0});
+  catalog_.servers.erase(name);
+  if (doubted_until_ == kNever) {
+    doubted_until_ = now + settings_.silent_entry_time;
+  }
+  // Another digest than with the entry in use, and than without it.
+  objects_[Index(collection::kServers)].Set(name, {epoch, kDoubtedRevision});
 }
 
 void catalog_replica::SetPosition(collection what, store_position position) {
@@ -463,11 +466,9 @@
     state.objects[name] = read;
     if (what != collection::kServers) continue;
     const server_entry* server = FindServer(catalog_.servers, name);
+    if (server == nullptr) server = FindServer(doubted_servers_, name);
     if (server != nullptr) state.servers[name] = *server;
   }
-  if (what == collection::kServers && !knows_changes) {
-    state.servers.insert(doubted_servers_.begin(), doubted_servers_.end());
-  }
   if (what == collection::kRoutes) state.routes = catalog_.routes;
   if (what == collection::kWithdrawals) {
     state.withdrawn_domains = catalog_.withdrawn_domains;
@@ -483,7 +484,8 @@
   return EncodeCollection(now, what, state);
 }
 
-bool catalog_replica::TakeChanges(const collection_export& state) {
+bool catalog_replica::TakeChanges(time_point now,
+                                  const collection_export& state) {
   constexpr collection kWhat = collection::kServers;
   const store_position held = Position(kWhat);
   if (state.position.epoch != held.epoch || state.since > held.revision) {
@@ -493,7 +495,12 @@
     DropServer(name, state.position);
   }
   for (const auto& [name, read] : state.objects) {
-    SetServer(name, read, FindServer(state.servers, name));
+    const server_entry* offered = FindServer(state.servers, name);
+    if (offered != nullptr && read.revision == kDoubtedRevision) {
+      DoubtServer(now, name, read.epoch, *offered);
+    } else {
+      SetServer(name, read, offered);
+    }
   }
   if (Digest(kWhat) == state.content) {
     SetPosition(kWhat, state.position);
@@ -518,12 +525,9 @@
   const bool has_later_routes = what == collection::kRoutes &&
                                 state.routes.version > catalog_.routes.version;
   if (!is_newer && !has_later_routes) return false;
-  if (state.since != 0) return TakeChanges(state);
+  if (state.since != 0) return TakeChanges(now, state);
   if (is_newer) {
     TakeWhole(now, what, state);
-    if (!doubted_servers_.empty() && doubted_until_ == kNever) {
-      doubted_until_ = now + settings_.silent_entry_time;
-    }
   } else {
     TakeRoutes(state.routes);
   }
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -116,7 +116,7 @@
   void TakeServers(time_point now, const collection_export& state);
   void TakeWithdrawals(time_point now, const collection_export& state);
   bool TakeRoutes(const route_table& routes);
-  bool TakeChanges(const collection_export& state);
+  bool TakeChanges(time_point now, const collection_export& state);
   void Apply(collection what, const store_object& object,
              store_position position);
   void SetServer(const std::string& name, store_position read,
@@ -134,7 +134,7 @@
                             const read_server& known);
   void KeepFor(time_point now, collection what, duration time);
   /// Takes note of an entry without using it.
-  void DoubtServer(const std::string& name, store_epoch epoch,
+  void DoubtServer(time_point now, const std::string& name, store_epoch epoch,
                    const server_entry& listed);
   bool IsKeeping(time_point now, collection what) const {
     return now < kept_until_[Index(what)];
--- a/poplarstair/catalog/collection_codec.h
+++ b/poplarstair/catalog/collection_codec.h
@@ -13,6 +13,11 @@
 
 namespace poplarstair {
 
+/// Stands in place of the revision of a server's entry that is not used: the
+/// store lists it after its return from a copy, and its server had followed it
+/// by another one before. No answer of a store holds so large a revision.
+inline constexpr store_revision kDoubtedRevision = ~store_revision{0};
+
 /// One collection; the content of the others stays empty.
 struct collection_export {
   store_position position;
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -405,7 +405,7 @@
   void NoteEpoch(time_point now, store_epoch epoch, std::string_view source) {
     if (epoch <= epoch_) return;
     const store_epoch before = std::exchange(epoch_, epoch);
-    if (before == 0) return;
+    if (before == 0 && !replica_.IsComplete()) return;
     actions_.log(log_record("store_restored", log_level::kWarning)
                      .With("epoch", epoch)
                      .With("before", before)
--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -408,3 +408,11 @@
   cr_assert(known.withdrawn_domains.empty());
   cr_assert_eq(known.routes.version, 8u, "a version never goes back");
 }
+
+Test(catalog_replica, a_server_whose_entry_tells_no_revision_is_used) {
+  catalog_replica replica = MakeReplica();
+  const auto entry = Reported("i-1", server_state::kReady, 1, 0);
+  replica.Replace(kNow, collection::kServers, {1, 5}, {entry});
+  replica.Replace(kNow, collection::kServers, {1, 6}, {entry});
+  cr_assert_eq(replica.Current().servers.size(), 1u);
+}
