--- a/unit_tests/catalog/catalog_replica_test.cc
+++ b/unit_tests/catalog/catalog_replica_test.cc
@@ -409,6 +409,22 @@
   cr_assert_eq(known.routes.version, 8u, "a version never goes back");
 }
 
+// An instance that had missed what the server said after the return handed on
+// what it had kept from before.
+Test(catalog_replica, what_another_instance_has_kept_is_no_later_word) {
+  catalog_replica other = MakeReplica();
+  other.Replace(kNow, collection::kServers, {1, 20},
+                {Reported("i-1", server_state::kReady, 5, 20)});
+  other.Replace(kNow, collection::kServers, {2, 30}, {});
+  cr_assert_eq(other.Current().servers.size(), 1u);
+  catalog_replica replica = MakeReplica();
+  replica.Replace(kNow, collection::kServers, {2, 25},
+                  {Reported("i-1", server_state::kDraining, 9, 22)});
+  replica.Import(kNow, collection::kServers,
+                 other.Export(kNow, collection::kServers));
+  cr_assert(replica.Current().servers.empty());
+}
+
 Test(catalog_replica, a_server_whose_entry_tells_no_revision_is_used) {
   catalog_replica replica = MakeReplica();
   const auto entry = Reported("i-1", server_state::kReady, 1, 0);
--- a/unit_tests/steering/store_return_test.cc
+++ b/unit_tests/steering/store_return_test.cc
@@ -226,7 +226,8 @@
           IsEarlierReport(entry, it->second) &&
           it->second.state == server_state::kDraining &&
           entry.state == server_state::kReady) {
-        went_back_ += where + " server " + name;
+        went_back_ += where;
+        went_back_ += " server " + name;
       }
     }
     before = held;
@@ -292,3 +293,25 @@
                  server_state::kDraining, "instance %zu", i);
   }
 }
+
+// A watch that hung since before the return went on to confirm at one instance,
+// and others took its word for what they had read since.
+Test(store_return, an_earlier_epoch_confirms_nothing_of_a_later_one) {
+  const time_point now{seconds(100)};
+  peer_view_settings settings;
+  settings.self = endpoint::Parse("10.1.0.1:8166");
+  settings.failure_domain = "d0";
+  peer_view peers(settings, random_source(1), [](const log_record&) {});
+  peer_digest digest;
+  digest.sender = endpoint::Parse("10.1.0.2:8166");
+  digest.life = 1;
+  digest.failure_domain = "d0";
+  digest.age = duration::zero();
+  digest.positions.fill({1, 90});
+  peers.OnDigest(now, digest);
+  peer_view::held_state own;
+  own.positions.fill({1, 95});
+  cr_assert_eq(peers.ConfirmedAt(own), now);
+  own.positions.fill({2, 20});
+  cr_assert_eq(peers.ConfirmedAt(own), time_point{});
+}
