--- a/poplarstair/catalog/catalog_replica.cc
+++ b/poplarstair/catalog/catalog_replica.cc
@@ -13,36 +13,6 @@
 /// replacements at the largest size that is aimed for.
 constexpr size_t kMostRemoved = 2048;
 
-/// A list of the store, in the form in which instances hand it over.
-collection_export ListOf(collection what, store_position position,
-                         const std::vector<store_object>& objects) {
-  collection_export state;
-  state.position = position;
-  for (const store_object& object : objects) {
-    state.objects[object.name] = {position.epoch, object.revision};
-    if (const auto* server = std::get_if<server_entry>(&object.content)) {
-      state.servers[object.name] = *server;
-    } else if (const auto* table = std::get_if<route_table>(&object.content)) {
-      state.routes = *table;
-    }
-  }
-  if (what == collection::kWithdrawals) {
-    for (const auto& [name, read] : state.objects) {
-      state.withdrawn_domains.push_back(name);
-    }
-  }
-  return state;
-}
-
-/// True if the difference is not worth any news: the store tells none if a
-/// server reports the same again.
-bool SaysTheSame(time_point now, const server_entry& a, const server_entry& b) {
-  return a.id == b.id && a.service == b.service && a.address == b.address &&
-         a.failure_domain == b.failure_domain && a.state == b.state &&
-         a.slots == b.slots && a.born_ms == b.born_ms &&
-         (a.cold_until > now) == (b.cold_until > now);
-}
-
 const server_entry* FindServer(
     const std::map<std::string, server_entry>& servers,
     const std::string& name) {
@@ -126,29 +96,10 @@
   doubted_servers_.clear();
   size_t kept = 0;
   for (const auto& [name, read] : state.objects) {
-    const server_entry* offered = FindServer(state.servers, name);
-    const server_entry* known = FindServer(held_servers, name);
-    const store_position known_at = known ? held.at(name) : store_position{};
-    switch (Judge(now, state, name, {known_at, known}, {read, offered})) {
-      case verdict::kTake:
-        SetServer(name, read, offered);
-        break;
-      case verdict::kKeep:
-        SetServer(name, known_at, known);
-        ++kept;
-        break;
-      case verdict::kDoubt:
-        if (known != nullptr) {
-          NoteRemoved(name, state.position, known_at, known);
-        }
-        DoubtServer(now, name, read.epoch, *offered);
-        break;
-      case verdict::kGone:
-        if (known != nullptr) {
-          NoteRemoved(name, state.position, known_at, known);
-        }
-        break;
-    }
+    read_server known{{}, FindServer(held_servers, name)};
+    if (known.entry != nullptr) known.read = held.at(name);
+    const read_server offered{read, FindServer(state.servers, name)};
+    if (!TakeListed(now, state.position, name, known, offered)) ++kept;
   }
   for (const auto& [name, read] : held) {
     if (state.objects.contains(name)) continue;
@@ -171,42 +122,33 @@
            .With("doubted", doubted_servers_.size()));
 }
 
-catalog_replica::verdict catalog_replica::Judge(
-    time_point now, const collection_export& state, const std::string& name,
-    const read_server& known, const read_server& offered) const {
-  if (offered.entry == nullptr) return verdict::kTake;
-  // The other instance has kept it over a return. What this one has heard of
-  // the server since then says that it is gone.
-  const bool is_kept_there = offered.read.epoch < state.position.epoch;
+bool catalog_replica::TakeListed(time_point now, store_position position,
+                                 const std::string& name,
+                                 const read_server& known,
+                                 const read_server& offered) {
   const auto removed = removed_servers_.find(name);
-  const bool is_removed = removed != removed_servers_.end();
-  const bool has_later = known.entry != nullptr &&
-                         known.read.epoch > offered.read.epoch &&
-                         !IsEarlierReport(*known.entry, *offered.entry);
-  const bool is_told_gone =
-      is_removed && removed->second.removed_at.epoch == state.position.epoch;
-  if (is_kept_there && (has_later || is_told_gone)) return verdict::kGone;
-  if (known.entry != nullptr && IsEarlierWord(now, offered, known)) {
-    return IsKeeping(now, collection::kServers) ? verdict::kKeep
-                                                : verdict::kDoubt;
-  }
-  if (offered.read.revision == kDoubtedRevision) return verdict::kDoubt;
-  if (!is_removed) return verdict::kTake;
-  const read_entry& last = removed->second.last;
-  const bool is_earlier = last.read.revision != 0 &&
-                          last.read.epoch != offered.read.epoch &&
-                          !IsEarlierReport(last.entry, *offered.entry);
-  return is_earlier ? verdict::kDoubt : verdict::kTake;
-}
-
-bool catalog_replica::IsEarlierWord(time_point now, const read_server& offered,
-                                    const read_server& known) {
-  const bool is_doubted_there = offered.read.revision == kDoubtedRevision;
-  if (known.read.epoch == offered.read.epoch && !is_doubted_there) {
-    return offered.read.revision < known.read.revision;
+  const entry_verdict verdict = Judge(
+      now, {position, known, offered,
+            removed == removed_servers_.end() ? nullptr : &removed->second,
+            IsKeeping(now, collection::kServers)});
+  switch (verdict) {
+    case entry_verdict::kTake:
+      SetServer(name, offered.read, offered.entry);
+      return true;
+    case entry_verdict::kKeep:
+      SetServer(name, known.read, known.entry);
+      return false;
+    case entry_verdict::kDoubt:
+    case entry_verdict::kGone:
+      if (known.entry != nullptr) {
+        NoteRemoved(name, position, known.read, known.entry);
+      }
+      if (verdict == entry_verdict::kDoubt) {
+        DoubtServer(now, name, offered.read.epoch, *offered.entry);
+      }
+      return true;
   }
-  return IsEarlierReport(*offered.entry, *known.entry) &&
-         !SaysTheSame(now, *offered.entry, *known.entry);
+  return true;
 }
 
 void catalog_replica::TakeWithdrawals(time_point now,
--- a/poplarstair/catalog/catalog_replica.h
+++ b/poplarstair/catalog/catalog_replica.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "poplarstair/catalog/collection_codec.h"
+#include "poplarstair/catalog/entry_judgement.h"
 #include "poplarstair/catalog/object_index.h"
 #include "poplarstair/catalog/returned_domains.h"
 #include "poplarstair/catalog/store_call.h"
@@ -83,37 +84,16 @@
   }
 
  private:
-  /// A server's entry and the position of its last change.
-  struct read_entry {
-    store_position read;
-    server_entry entry;
-  };
-  struct read_server {
-    store_position read;
-    /// Null if there is none that can be read.
-    const server_entry* entry = nullptr;
-  };
-  enum class verdict : uint8_t {
-    /// It comes into use.
-    kTake,
-    /// What is held stays: a later word, which the store has lost.
-    kKeep,
-    /// Neither is used until the server reports again.
-    kDoubt,
-    kGone,
-  };
-  struct removed_server {
-    store_position removed_at;
-    /// Revision 0 if it could not be read.
-    read_entry last;
-  };
-
   static size_t Index(collection what) { return static_cast<size_t>(what); }
 
   /// Replaces a collection by `state`, but for what is kept.
   void TakeWhole(time_point now, collection what,
                  const collection_export& state);
   void TakeServers(time_point now, const collection_export& state);
+  /// Takes over one entry of a whole; false if `known` is kept instead.
+  bool TakeListed(time_point now, store_position position,
+                  const std::string& name, const read_server& known,
+                  const read_server& offered);
   void TakeWithdrawals(time_point now, const collection_export& state);
   bool TakeRoutes(const route_table& routes);
   bool TakeChanges(time_point now, const collection_export& state);
@@ -124,14 +104,6 @@
   void DropServer(const std::string& name, store_position position);
   void NoteRemoved(const std::string& name, store_position removed_at,
                    store_position read, const server_entry* last);
-  /// What becomes of an entry that the store or another instance lists.
-  verdict Judge(time_point now, const collection_export& state,
-                const std::string& name, const read_server& known,
-                const read_server& offered) const;
-  /// True if the server has reported `offered` before `known`: the store's
-  /// order tells within an epoch, and the server's own between epochs.
-  static bool IsEarlierWord(time_point now, const read_server& offered,
-                            const read_server& known);
   void KeepFor(time_point now, collection what, duration time);
   /// Takes note of an entry without using it.
   void DoubtServer(time_point now, const std::string& name, store_epoch epoch,
--- a/poplarstair/catalog/collection_codec.cc
+++ b/poplarstair/catalog/collection_codec.cc
@@ -230,6 +230,26 @@
 
 }  // namespace
 
+collection_export ListOf(collection what, store_position position,
+                         const std::vector<store_object>& objects) {
+  collection_export state;
+  state.position = position;
+  for (const store_object& object : objects) {
+    state.objects[object.name] = {position.epoch, object.revision};
+    if (const auto* server = std::get_if<server_entry>(&object.content)) {
+      state.servers[object.name] = *server;
+    } else if (const auto* table = std::get_if<route_table>(&object.content)) {
+      state.routes = *table;
+    }
+  }
+  if (what == collection::kWithdrawals) {
+    for (const auto& [name, read] : state.objects) {
+      state.withdrawn_domains.push_back(name);
+    }
+  }
+  return state;
+}
+
 std::string EncodeCollection(time_point now, collection what,
                              const collection_export& state) {
   collection_fields fields;
--- a/poplarstair/catalog/collection_codec.h
+++ b/poplarstair/catalog/collection_codec.h
@@ -9,15 +9,11 @@
 #include <vector>
 
 #include "poplarstair/catalog/catalog.h"
+#include "poplarstair/catalog/store_call.h"
 #include "poplarstair/core/time.h"
 
 namespace poplarstair {
 
-/// Stands in place of the revision of a server's entry that is not used: the
-/// store lists it after its return from a copy, and its server had followed it
-/// by another one before. No answer of a store holds so large a revision.
-inline constexpr store_revision kDoubtedRevision = ~store_revision{0};
-
 /// One collection; the content of the others stays empty.
 struct collection_export {
   store_position position;
@@ -39,6 +35,9 @@
   uint32_t vocabulary = kVocabularyVersion;
 };
 
+/// A list of the store, in the form in which instances hand it over.
+collection_export ListOf(collection what, store_position position,
+                         const std::vector<store_object>& objects);
 std::string EncodeCollection(time_point now, collection what,
                              const collection_export& state);
 /// Throws malformed_message, also for another collection than `what`.
--- a/poplarstair/steering/entry_instance.cc
+++ b/poplarstair/steering/entry_instance.cc
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "poplarstair/core/error.h"
-#include "poplarstair/steering/steering_log.h"
+#include "poplarstair/steering/entry_state.h"
 
 namespace poplarstair {
 
@@ -185,15 +184,15 @@
     state["instances"] = peers_.Size() + 1;
     state["routes_version"] = replica_.Current().routes.version;
     state["routes"] = replica_.Current().routes.routes.size();
-    state["unread_parts"] = UnreadParts();
+    state["unread_parts"] = UnreadPartsJson(replica_.Current().routes);
     state["backend_servers"] = replica_.Current().servers.size();
     state["withdrawn_domains"] = replica_.Current().withdrawn_domains;
     state["catalog_age_ms"] = (now - confirmed_at_).count() / 1000;
-    state["store_positions"] = Positions();
+    state["store_positions"] = PositionsJson(replica_);
     state["follows_store"] = followers_[0]->IsFollowing();
     state["flows"] = steering_.OpenFlows();
-    state["slowest_servers"] = SlowestServers(now);
-    state["admission"] = Admission(now);
+    state["slowest_servers"] = SlowestServersJson(now, steering_);
+    state["admission"] = AdmissionJson(now, steering_);
     return state.dump(2) + "\n";
   }
 
@@ -215,61 +214,6 @@
     time_point since{};
   };
 
-  /// Services whose requests are limited, for operators.
-  nlohmann::json Admission(time_point now) {
-    nlohmann::json listed = nlohmann::json::object();
-    for (const auto& [service, s] : steering_.Admission(now)) {
-      const bool is_short = s.short_since != kNever;
-      listed[service] = {
-          {"room", s.room},
-          {"in_progress", s.in_progress},
-          {"waiting", s.waiting},
-          {"short_of_room", is_short},
-          {"short_for_ms", is_short ? (now - s.short_since).count() / 1000 : 0},
-          {"held", s.held},
-          {"refused", s.refused}};
-    }
-    return listed;
-  }
-
-  /// What is believed of the servers that take longest, for operators.
-  nlohmann::json SlowestServers(time_point now) const {
-    constexpr size_t kMost = 64;
-    nlohmann::json listed = nlohmann::json::array();
-    for (const server_belief& belief : steering_.ServerBeliefs(now, kMost)) {
-      listed.push_back({{"server", ServerName(belief.id)},
-                        {"service", belief.service},
-                        {"domain", belief.failure_domain},
-                        {"work_us", std::lround(belief.work.mean)},
-                        {"samples", std::lround(belief.work.count)},
-                        {"load", belief.load},
-                        {"silent", belief.is_silent},
-                        {"takes_flows", belief.takes_flows}});
-    }
-    return listed;
-  }
-
-  /// As of when each collection is known, for operators.
-  nlohmann::json Positions() const {
-    nlohmann::json listed = nlohmann::json::object();
-    for (const collection what : kAllCollections) {
-      const store_position position = replica_.Position(what);
-      listed[std::string(NameOf(what))] = {{"epoch", position.epoch},
-                                           {"revision", position.revision}};
-    }
-    return listed;
-  }
-
-  /// Parts of the configuration that can't be read, for operators.
-  nlohmann::json UnreadParts() const {
-    const route_table& table = replica_.Current().routes;
-    nlohmann::json listed = nlohmann::json::array();
-    for (const unread_part& part : table.unread) {
-      listed.push_back({{"part", part.name}, {"problem", part.problem}});
-    }
-    return {{"count", table.unread_count}, {"first", listed}};
-  }
-
   static size_t Index(collection what) { return static_cast<size_t>(what); }
 
   follower_settings FollowerSettings(collection what) const {
