--- a/review/standins-3/site.hpp
+++ b/review/standins-3/site.hpp
@@ -264,11 +264,16 @@
   static void Reply(const connection_ptr& c, int status,
                     const std::string& body) {
     if (!c->is_open || c->is_silent) return;
-    const std::string text =
+    const std::string head =
         "HTTP/1.1 " + std::to_string(status) +
         (status == 200 ? " OK" : " Other") +
         "\r\nContent-Type: application/json\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::to_string(body.size()) + "\r\n\r\n";
+    if (SendAll(c, head)) SendAll(c, body);
+  }
+
+ private:
+  static bool SendAll(const connection_ptr& c, const std::string& text) {
     size_t sent = 0;
     while (sent < text.size()) {
       const ssize_t n =
@@ -277,14 +282,14 @@
         sent += static_cast<size_t>(n);
       } else if (errno == EAGAIN) {
         pollfd p{c->fd, POLLOUT, 0};
-        poll(&p, 1, 100);
+        if (poll(&p, 1, 100) <= 0) return false;
       } else {
-        return;
+        return false;
       }
     }
+    return true;
   }
 
- private:
   void Accept() {
     for (;;) {
       const int fd =
@@ -378,7 +383,13 @@
     uint64_t revision;
     std::string kind;
     std::string json;
+    double at;
   };
+  /// The settings of the small sites give 20 s of history.
+  static constexpr double kHistoryMs = 20000;
+  /// A list's page holds about 500 objects, or 1 MB at most.
+  static constexpr size_t kPageObjects = 500;
+  static constexpr size_t kPageBytes = 1 << 20;
   struct watch {
     std::string kind;
     uint64_t since = 0;
@@ -393,11 +404,19 @@
            R"(,"finalizers":[],"deletion_pending":false},"spec":)" + o.spec +
            R"(,"status":null})";
   }
+  void Forget() {
+    while (!events_.empty() && events_.front().at < Now() - kHistoryMs) {
+      forgotten_ = events_.front().revision;
+      events_.pop_front();
+    }
+  }
   void Note(const std::string& kind, const std::string& json, bool is_deleted) {
+    Forget();
     events_.push_back({revision_, kind,
                        std::string(R"({"deleted":)") +
                            (is_deleted ? "true" : "false") + R"(,"object":)" +
-                           json + "}"});
+                           json + "}",
+                       Now()});
     std::vector<watch> rest;
     for (watch& w : watches_) {
       if (!Answer(w)) rest.push_back(w);
@@ -406,19 +425,30 @@
   }
   /// True if there was something to tell.
   bool Answer(const watch& w) {
-    std::string list;
-    for (const event& e : events_) {
-      if (e.kind != w.kind || e.revision <= w.since) continue;
-      list += (list.empty() ? "" : ",") + e.json;
+    // Several instances ask for the same.
+    const std::string key = w.kind + " " + std::to_string(w.since) + " " +
+                            std::to_string(revision_);
+    if (key != answered_) {
+      std::string list = "{\"events\":[";
+      bool is_empty = true;
+      for (const event& e : events_) {
+        if (e.kind != w.kind || e.revision <= w.since) continue;
+        if (!is_empty) list += ",";
+        list += e.json;
+        is_empty = false;
+      }
+      if (is_empty) return false;
+      list += "],\"at_rev\":" + std::to_string(revision_) + "}";
+      answered_ = key;
+      answer_ = std::move(list);
     }
-    if (list.empty()) return false;
-    Send(w, list);
+    http_server::Reply(w.from, 200, answer_);
     return true;
   }
-  void Send(const watch& w, const std::string& list) {
-    http_server::Reply(w.from, 200,
-                       "{\"events\":[" + list +
-                           "],\"at_rev\":" + std::to_string(revision_) + "}");
+  void SendNothing(const watch& w) {
+    http_server::Reply(
+        w.from, 200,
+        "{\"events\":[],\"at_rev\":" + std::to_string(revision_) + "}");
   }
   static std::string Query(const std::string& target, const std::string& key) {
     const size_t at = target.find(key + "=");
@@ -440,6 +470,8 @@
     if (!since.empty()) {
       watch w{kind, std::stoull(since),
               Now() + std::stod(Query(target, "wait_ms")), c};
+      Forget();
+      if (w.since < forgotten_) return http_server::Reply(c, 410, "{}");
       if (Answer(w)) return;
       watches_.push_back(w);
       loop_.At(w.until, [this] { EndWatches(); });
@@ -451,10 +483,12 @@
     bool has_more = false;
     for (const auto& [name, o] : kinds_[kind]) {
       if (name <= after && !after.empty()) continue;
-      if (count++ == 500) {
+      if (count == kPageObjects ||
+          (count > 0 && items.size() + o.spec.size() > kPageBytes)) {
         has_more = true;
         break;
       }
+      ++count;
       items += (items.empty() ? "" : ",") + Json(name, o);
     }
     http_server::Reply(c, 200,
@@ -466,7 +500,7 @@
     std::vector<watch> rest;
     for (watch& w : watches_) {
       if (w.until <= Now()) {
-        Send(w, "");
+        SendNothing(w);
       } else {
         rest.push_back(w);
       }
@@ -477,8 +511,13 @@
   loop& loop_;
   uint64_t revision_ = 100;
   std::map<std::string, std::map<std::string, object>> kinds_;
-  std::vector<event> events_;
+  std::deque<event> events_;
+  /// The last revision that has dropped out of the history.
+  uint64_t forgotten_ = 0;
   std::vector<watch> watches_;
+  /// The last answer to a watch that told something.
+  std::string answered_;
+  std::string answer_;
   http_server server_;
 };
 
