--- a/review/standins-3/large_entries.cpp
+++ b/review/standins-3/large_entries.cpp
@@ -35,7 +35,6 @@
   double last_late = 0;
   std::string drained;
   std::vector<std::unique_ptr<target>> targets;
-  std::map<std::string, size_t> zone_of;
   int seq = 0;
   const int64_t born = UnixMs();
   const auto spec = [&](size_t i, const char* state, int cold_ms) {
