--- a/review/standins-3/large_entries.cpp
+++ b/review/standins-3/large_entries.cpp
@@ -11,7 +11,7 @@
 constexpr const char* kService = "watchdesk";
 /// Below max_value_bytes, 1,048,576.
 constexpr size_t kEntryBytes = 900'000;
-constexpr int kEntries = 32;
+constexpr int kEntries = 64;
 const std::vector<std::string> kZones = {"zone-a", "zone-b", "zone-c"};
 
 }  // namespace
