--- a/review/standins-3/stale_seeds.cpp
+++ b/review/standins-3/stale_seeds.cpp
@@ -8,10 +8,15 @@
 
 namespace {
 
-constexpr const char* kService = "evidence-store";
+constexpr const char* kService = "media-intake";
 constexpr const char* kZone = "zone-a";
-/// Three machines and the zone's spare one.
-constexpr uint32_t kInstances = 4;
+/// Seven machines and the first zone's spare one.
+const std::vector<std::string> kMachineZones = {"zone-a", "zone-a", "zone-a",
+                                                "zone-a", "zone-b", "zone-b",
+                                                "zone-c", "zone-c"};
+const std::vector<std::string> kTargetZones = {"zone-a", "zone-b", "zone-b",
+                                               "zone-c"};
+constexpr double kDownMs = 500;
 constexpr double kColdMs = 2000;
 constexpr double kColdPerSecond = 40;
 /// cold_per_s x cold_factor + cold_slack.
@@ -46,43 +51,44 @@
   const uint32_t route = Address(200, 1);
   instances fleet(l, out, Address(1, 1));
   fleet.has_stale_seeds = HasTrouble();
-  for (uint32_t i = 0; i < kInstances; ++i) {
-    fleet.Add(kZone, Address(10, 1 + i));
+  for (uint32_t i = 0; i < kMachineZones.size(); ++i) {
+    fleet.Add(kMachineZones[i], Address(10, 1 + i));
   }
 
-  std::vector<std::unique_ptr<target>> targets;
-  std::vector<int64_t> born;
+  // By place; each start is a new lifetime with a new id at the old address.
+  std::vector<std::unique_ptr<target>> targets(kTargetZones.size());
+  std::vector<int64_t> born(kTargetZones.size());
   int seq = 0;
   std::vector<taken> in_cold;
   std::map<uint32_t, size_t> by_machine;
   std::map<uint16_t, double> sent;
-  const auto tell = [&](size_t i, const char* state, double cold_ms) {
-    platform.Put("servers", targets[i]->Id(),
-                 ServerSpec(kService, targets[i]->At(), kZone, 2, state,
-                            static_cast<int>(cold_ms), born[i], ++seq));
-    out.Line("target=%s state=%s cold_ms=%.0f", targets[i]->Id().c_str(), state,
-             cold_ms);
+  const auto tell = [&](size_t i, double cold_ms) {
+    platform.Put(
+        "servers", targets[i]->Id(),
+        ServerSpec(kService, targets[i]->At(), kTargetZones[i], 2, "ready",
+                   static_cast<int>(cold_ms), born[i], ++seq));
+    out.Line("target=%s zone=%s cold_ms=%.0f", targets[i]->Id().c_str(),
+             kTargetZones[i].c_str(), cold_ms);
   };
-  const auto start = [&](double cold_ms) {
-    const size_t i = targets.size();
+  const auto start = [&](size_t i, double cold_ms) {
     char id[32];
     std::snprintf(id, sizeof(id), "i-%08x", static_cast<unsigned>(random()));
     target::hooks hooks;
     const double cold_until = Now() + cold_ms;
-    hooks.opened = [&, cold_until](const arrival& a) {
-      if (Now() > cold_until) return;
+    hooks.opened = [&, i, cold_until](const arrival& a) {
+      if (i != 0 || Now() > cold_until) return;
       in_cold.push_back({sent[a.port], Now()});
       ++by_machine[a.machine];
       out.Line("opened cold target machine=%s",
                fleet.Of(a.machine).name.c_str());
     };
     hooks.ran = [](const std::string&) {};
-    targets.push_back(std::make_unique<target>(
-        l, random, id, Address(20, 1 + static_cast<uint32_t>(i)), 5, hooks));
-    born.push_back(UnixMs());
-    tell(i, "ready", cold_ms);
+    targets[i] = std::make_unique<target>(
+        l, random, id, Address(20, 1 + static_cast<uint32_t>(i)), 5, hooks);
+    born[i] = UnixMs();
+    tell(i, cold_ms);
   };
-  start(0);
+  for (size_t i = 0; i < targets.size(); ++i) start(i, 0);
   platform.Put("config", "main",
                Manifest(7, kService, route, 3, kColdPerSecond));
   for (machine& m : fleet.all) fleet.Start(m, true);
@@ -103,31 +109,35 @@
       }
     });
   });
-  // Planned work: the service's one target is replaced. The new one starts
-  // first, then the old one drains; four times.
+  // All targets of the service crash and start again; three times.
   size_t worst = 0;
-  for (int r = 0; r < 4; ++r) {
-    const double at = 12000 + 6000 * r;
+  for (int r = 0; r < 3; ++r) {
+    const double at = 12000 + 8000 * r;
     l.At(at, [&] {
+      for (auto& t : targets) {
+        const std::string id = t->Id();
+        t.reset();
+        out.Line("crashed target=%s", id.c_str());
+        // Three report intervals of silence.
+        l.After(3600, [&, id] { platform.Delete("servers", id); });
+      }
       in_cold.clear();
       by_machine.clear();
-      start(kColdMs);
     });
-    l.At(at + 100, [&, r] { tell(static_cast<size_t>(r), "draining", 0); });
-    l.At(at + kColdMs + 50,
-         [&, r] { tell(static_cast<size_t>(r) + 1, "ready", 0); });
-    l.At(at + kColdMs + 500, [&] {
+    l.At(at + kDownMs, [&] {
+      for (size_t i = 0; i < targets.size(); ++i) start(i, kColdMs);
+    });
+    l.At(at + kDownMs + kColdMs + 50, [&] {
+      for (size_t i = 0; i < targets.size(); ++i) tell(i, 0);
+    });
+    l.At(at + kDownMs + kColdMs + 500, [&] {
       const size_t most = MostInASecond(in_cold);
       worst = std::max(worst, most);
       out.Line("while_cold=%zu most_in_a_second=%zu machines=%zu",
                in_cold.size(), most, by_machine.size());
     });
-    // It has left.
-    l.At(at + 5000, [&, r] {
-      platform.Delete("servers", targets[static_cast<size_t>(r)]->Id());
-    });
   }
-  l.RunUntil(12000 + 6000 * 4);
+  l.RunUntil(12000 + 8000 * 3);
   out.Line("served=%zu reset=%zu not_opened=%zu no_answer=%zu",
            ends[outcome::kServed], ends[outcome::kReset],
            ends[outcome::kNotOpened], ends[outcome::kNoAnswer]);
