--- a/review/standins-3/restarted_targets.cpp
+++ b/review/standins-3/restarted_targets.cpp
@@ -55,6 +55,7 @@
   std::vector<std::unique_ptr<target>> targets(kTargets);
   std::vector<std::string> ids(kTargets);
   std::vector<int> seqs(kTargets);
+  std::vector<int64_t> born(kTargets);
   std::vector<double> started(kTargets, -1e9);
   std::vector<std::vector<taken>> in_cold(kTargets);
   std::map<std::pair<uint32_t, uint16_t>, double> sent;
@@ -64,6 +65,7 @@
   };
   const auto start = [&](size_t i, double cold_ms) {
     started[i] = Now();
+    born[i] = UnixMs();
     target::hooks hooks;
     hooks.opened = [&, i, cold_ms](const arrival& a) {
       if (cold_ms == 0 || Now() - started[i] > cold_ms) return;
@@ -78,7 +80,7 @@
     // It tells the store before it answers anybody.
     platform.Put("servers", ids[i],
                  ServerSpec(kService, address(i), kZones[i % 3], 2, "ready",
-                            static_cast<int>(cold_ms), UnixMs(), seqs[i] = 1));
+                            static_cast<int>(cold_ms), born[i], seqs[i] = 1));
     targets[i] =
         std::make_unique<target>(l, random, ids[i], address(i), 15, hooks);
   };
@@ -138,8 +140,7 @@
         platform.Put(
             "servers", ids[i],
             ServerSpec(kService, address(i), kZones[i % 3], 2, "ready", 0,
-                       UnixMs() - static_cast<int64_t>(Now() - started[i]),
-                       ++seqs[i]));
+                       born[i], ++seqs[i]));
       });
     }
   }
